Log fetches apart from look-ups, the module's level and the list known from before

The tally summed look-ups and fetches, so an origin that falters did not show, nor what the module did about it. The state line comes at most once a second and only when it has changed.

--- a/src/main/java/hopglade/Decide.java
+++ b/src/main/java/hopglade/Decide.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.SplittableRandom;
 
@@ -346,6 +347,12 @@
         learn(ByteBuffer.wrap(contents));
     }
 
+    @Override
+    public String state() {
+        return control.level == 0 ? "not throttled" : String.format(Locale.ROOT,
+                "throttled at level %d to %.1f fetches/s", control.level, control.rate());
+    }
+
     /** Takes in told keys; a message that is no whole number of keys loses its rest. */
     private void learn(ByteBuffer keys) {
         for (keys.rewind(); keys.remaining() >= Integer.BYTES;) {
--- a/src/main/java/hopglade/Router.java
+++ b/src/main/java/hopglade/Router.java
@@ -184,4 +184,9 @@
 
     /** A message from another proxy. */
     void peerMessage(double now, int from, byte[] contents, Actions out);
+
+    /** How it is doing, in a few words for the log; equal as long as nothing that matters there has changed. */
+    default String state() {
+        return "";
+    }
 }
--- a/src/main/java/hopglade/proxy/Proxy.java
+++ b/src/main/java/hopglade/proxy/Proxy.java
@@ -50,9 +50,10 @@
     /** A request as it goes on to nodes. {@code key} and {@code contentType} are null where it has none. */
     record Payload(HttpMethod method, String uri, byte[] body, String key, String contentType) { }
 
-    /** Counts for the log. */
+    /** Counts for the log. Fetches are counted apart: an origin that falters shows in nothing else as soon. */
     static final class Tally {
-        final int[] outcomes = new int[Outcome.values().length];
+        final int[] lookUps = new int[Outcome.values().length];
+        final int[] fetches = new int[Outcome.values().length];
         int requests;
         int served;
         int refused;
@@ -81,6 +82,7 @@
     private Consumer<byte[]> tell = contents -> { };
     private boolean telling;
     private int owed;
+    private String origin = "";
 
     Proxy(EventLoop loop, Clock clock, Settings settings, Router router, NodePool pool, int maxOpen) {
         this.loop = loop;
@@ -115,7 +117,14 @@
 
     // Events from the sockets.
 
+    /** The module's own account of how it is doing, for the log. */
+    String state() {
+        return router.state();
+    }
+
     void hosts(ListKind kind, HostList list) {
+        list.nodes().stream().filter(n -> n.model() != null && n.model().equals(settings.originModel()))
+                .forEach(n -> origin = n.id());
         pool.list(list);
         tell(now -> router.nodes(now, kind, list.version(), list.nodes(), this), () -> { });
     }
@@ -161,7 +170,7 @@
     private void ended(Call call, int attempt, String node, double sentAt, Outcome outcome, FullHttpResponse response) {
         call.out = null;
         call.proven &= outcome.provesNotRun();
-        tally.outcomes[outcome.ordinal()]++;
+        count(node, outcome);
         if (outcome == Outcome.OK && !call.over) {
             tally.served++;
             settle(call);
@@ -170,6 +179,10 @@
         report(call.in.id(), call, attempt, node, outcome, clock.now() - sentAt, note(response));
     }
 
+    private void count(String node, Outcome outcome) {
+        (node.equals(origin) ? tally.fetches : tally.lookUps)[outcome.ordinal()]++;
+    }
+
     private void report(String id, Call call, int attempt, String node, Outcome outcome, double elapsedMs,
                         int note) {
         boolean finished = call == null || call.over;
@@ -339,7 +352,7 @@
         // Nothing goes out for a request that is over or late, past the attempts allowed, or beside another of its own.
         if (call == null || call.over || call.out != null || wait <= 0
                 || attempt >= settings.limits().maxAttempts()) {
-            tally.outcomes[Outcome.NEVER_SENT.ordinal()]++;
+            count(node, Outcome.NEVER_SENT);
             report(request, call, attempt, node, Outcome.NEVER_SENT, 0, 0);
             return;
         }
--- a/src/main/java/hopglade/proxy/Service.java
+++ b/src/main/java/hopglade/proxy/Service.java
@@ -32,6 +32,7 @@
     /** How long readiness waits for discovery: a list from the configuration serves if it says nothing. */
     private static final long FIRST_NEWS_MS = 2000;
     private static final long TALLY_S = 10;
+    private static final long STATE_S = 1;
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final CountDownLatch ended = new CountDownLatch(1);
@@ -43,6 +44,7 @@
     private final Discovery discovery;
     private final Peers peers;
     private InetSocketAddress listening;
+    private String state = "";
 
     private Service(Config config, Router router) {
         this.config = config;
@@ -87,6 +89,8 @@
     }
 
     private void open() throws IOException, InterruptedException {
+        Log.info(config.known() == null ? "no list is known from before"
+                : "list " + config.known().version() + " of " + config.known().hosts().size() + " hosts is known from before");
         if (peers != null) {
             bound(peers.listen(), config.peerListen());
         }
@@ -97,6 +101,7 @@
         long patience = config.settings().mustSubscribe() ? 0 : FIRST_NEWS_MS;
         loop.schedule(clients::ready, patience, TimeUnit.MILLISECONDS);
         loop.scheduleAtFixedRate(this::logTally, TALLY_S, TALLY_S, TimeUnit.SECONDS);
+        loop.scheduleAtFixedRate(this::logState, STATE_S, STATE_S, TimeUnit.SECONDS);
     }
 
     private static ChannelFuture bound(ChannelFuture bound, InetSocketAddress address)
@@ -185,10 +190,22 @@
 
     private void logTally() {
         Proxy.Tally t = proxy.tally();
-        String outcomes = Arrays.stream(Outcome.values()).filter(o -> t.outcomes[o.ordinal()] > 0)
-                .map(o -> o + "=" + t.outcomes[o.ordinal()]).collect(Collectors.joining(" "));
         Log.info("requests=" + t.requests + " served=" + t.served + " refused=" + t.refused + " failed=" + t.failed
                 + " gone=" + t.gone + " owed=" + proxy.owed() + " clients=" + clients.connections() + " nodes="
-                + pool.connections() + " attempts: " + outcomes);
+                + pool.connections() + " look-ups: " + counts(t.lookUps) + " fetches: " + counts(t.fetches));
+    }
+
+    private static String counts(int[] outcomes) {
+        return Arrays.stream(Outcome.values()).filter(o -> outcomes[o.ordinal()] > 0)
+                .map(o -> o + "=" + outcomes[o.ordinal()]).collect(Collectors.joining(" "));
+    }
+
+    /** Tells of the module's state once it is another: when it began to throttle stands beside what it then refused. */
+    private void logState() {
+        String now = proxy.state();
+        if (!now.equals(state)) {
+            state = now;
+            Log.info(now);
+        }
     }
 }
