Warm up for half a second, not two, when a proxy starts again

A rolling restart of the two proxies runs from 13.0 s to 19.0 s.

For two seconds there was no proxy at all, and the 2 s of the warm-up were spent just then. Logging what list a start is given showed how a restart can be told from a first start without peers to listen to: the list known from before has version 0 at a birth and discovery's own number (12, 16) afterwards.

The drain lost nothing (owed=0 at both ends). The module: it neither refused nor failed more in the proxy that was up. Descriptors stood at 233 of 384.

Lines at fault. Warmup.PATIENCE_MS, 2000, "as at a rolling restart the next proxy goes down 3 s after this one did": of these 3 s the end takes 1.2 s and the Java machine's start on half a core 1.1 s. Also Warmup.run: after its time its in-process clients went on asking, and a loop that is told to end first does all work that it finds, which cost up to 0.9 s more of processor time before the listener was opened.

A proxy whose known list has a version waits AGAIN_MS, 500, for its warm-up; a first start waits as before. The warm-up's clients stop once it is over. Its addresses are unique, so that two can be run.

Tests: WarmupTest.aProxyThatServedBeforeIsBackBeforeTheNextOneStops and onceItIsOverItsClientsAskNoMore; the second fails with the check of the flag taken out.

--- a/src/main/java/hopglade/proxy/Service.java
+++ b/src/main/java/hopglade/proxy/Service.java
@@ -65,7 +65,7 @@
     public static void rehearse() throws IOException, InterruptedException {
         InetAddress loopback = InetAddress.getLoopbackAddress();
         InetSocketAddress any = new InetSocketAddress(loopback, 0);
-        Warmup.run(Warmup.anySettings(), any);
+        Warmup.run(Warmup.anySettings(), any, null);
         Config config = new Config("rehearsal", any, any, 0, 0, null, List.of(), null, null, Warmup.anySettings(), 1);
         Service service = start(config, new Decide(config.settings(), 0));
         service.kill();
@@ -73,7 +73,7 @@
 
     /** Starts a proxy with the project's decisions. */
     public static Service start(Config config) throws IOException, InterruptedException {
-        Warmup.run(config.settings(), config.peerListen());
+        Warmup.run(config.settings(), config.peerListen(), config.known());
         return start(config, new Decide(config.settings(), config.seed()));
     }
 
--- a/src/main/java/hopglade/proxy/Warmup.java
+++ b/src/main/java/hopglade/proxy/Warmup.java
@@ -36,6 +36,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -50,6 +51,11 @@
     private static final long PATIENCE_MS = 2000;
     /** And so much longer where none is heard: at the first start of all nobody waits for us. */
     private static final long ALONE_MS = 2000;
+    /**
+     * All that a proxy which served before may take. It is told to stop 3 s before the next one is, needs a second of
+     * them to end and another for the Java machine's start on half a core; until it is up, nobody serves.
+     */
+    private static final long AGAIN_MS = 500;
     private static final int AT_ONCE = 4;
     private static final int NODES = 4;
     /** One of so many requests is a miss at its cache node. */
@@ -62,24 +68,55 @@
     private final Settings settings;
     private int sent;
     private volatile int served;
+    private volatile boolean over;
 
-    private Warmup(Settings settings) {
+    Warmup(Settings settings) {
         this.settings = settings;
     }
 
     /** Returns how many requests were answered, when it has run long enough; a fault in it costs its gain alone. */
-    static int run(Settings settings, InetSocketAddress peerListen) throws IOException, InterruptedException {
+    static int run(Settings settings, InetSocketAddress peerListen, HostList known)
+            throws IOException, InterruptedException {
         Warmup warmup = new Warmup(settings);
         try (PeerEar ear = new PeerEar(peerListen)) {
             warmup.start();
-            if (!warmup.done.await(PATIENCE_MS, TimeUnit.MILLISECONDS) && peerListen != null && !ear.heard(0)) {
+            if (!warmup.done.await(patienceMs(known), TimeUnit.MILLISECONDS) && !servedBefore(known)
+                    && peerListen != null && !ear.heard(0)) {
                 warmup.done.await(ALONE_MS, TimeUnit.MILLISECONDS);
             }
-            Log.info("warmed up with " + warmup.served + " requests");
-            return warmup.served;
         } finally {
-            warmup.group.shutdownGracefully(0, 0, TimeUnit.SECONDS).await(1, TimeUnit.SECONDS);
+            warmup.end();
         }
+        Log.info("warmed up with " + warmup.served + " requests");
+        return warmup.served;
+    }
+
+    /** A list that discovery has numbered was had from it in an earlier life: this is a restart, and clients wait. */
+    private static boolean servedBefore(HostList known) {
+        return known != null && known.version() > 0;
+    }
+
+    static long patienceMs(HostList known) {
+        return servedBefore(known) ? AGAIN_MS : PATIENCE_MS;
+    }
+
+    /** Its clients ask no more from here on: a loop that is told to end goes on as long as it finds work. */
+    void halt() {
+        over = true;
+    }
+
+    void end() throws InterruptedException {
+        halt();
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS).await(1, TimeUnit.SECONDS);
+    }
+
+    int served() {
+        return served;
+    }
+
+    /** How many were asked by now, once the loop has come to say so. */
+    int asked() throws InterruptedException, ExecutionException {
+        return loop.submit(() -> sent).get();
     }
 
     /** Settings under which it runs where there is no configuration, as when the class archive is made. */
@@ -90,14 +127,14 @@
                 new Rules(0, 1, 0, 1, 1000, 0, 0), false, Weights.NONE, "origin");
     }
 
-    private void start() throws InterruptedException {
+    void start() throws InterruptedException {
         NodePool pool = new NodePool(loop, Transport.IN_PROCESS, CONNECT_MS, settings.connections().idleMs(), NODES * AT_ONCE);
         Proxy proxy = new Proxy(loop, new Clock(), settings, new Decide(settings, 0), pool, AT_ONCE + 1);
         ClientServer clients = new ClientServer(loop, proxy, settings, 2 * AT_ONCE);
-        LocalAddress front = new LocalAddress("warm-up");
+        LocalAddress front = new LocalAddress(Warmup.class);
         List<HostList.Host> hosts = new ArrayList<>();
         for (int i = 0; i <= NODES; i++) {
-            LocalAddress address = new LocalAddress("warm-up-" + i);
+            LocalAddress address = new LocalAddress(Warmup.class);
             boolean origin = i == NODES && settings.originModel() != null;
             node(address, origin);
             hosts.add(new HostList.Host(new Node("warm-up-" + i, origin ? settings.originModel() : "", settings.zone(), 0,
@@ -174,7 +211,7 @@
             if (answer.status().equals(HttpResponseStatus.OK)) {
                 answered();
             }
-            if (sent < REQUESTS) {
+            if (sent < REQUESTS && !over) {
                 ask(ctx);
             } else {
                 done.countDown();
--- a/src/test/java/hopglade/proxy/WarmupTest.java
+++ b/src/test/java/hopglade/proxy/WarmupTest.java
@@ -1,8 +1,11 @@
 package hopglade.proxy;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 /** The warm-up runs the whole path: requests are served by its nodes, some through its origin. */
 class WarmupTest {
@@ -10,7 +13,36 @@
     @Test
     void itsRequestsAreServedAndItEnds() throws Exception {
         try (Site site = new Site()) {
-            assertTrue(Warmup.run(site.config("automatic", "60000", "").settings(), null) > 0);
+            assertTrue(Warmup.run(site.config("automatic", "60000", "").settings(), null, null) > 0);
+        }
+    }
+
+    /** A rolling restart stops the next proxy 3 s after this one was told to: by then it has to serve again. */
+    @Test
+    void aProxyThatServedBeforeIsBackBeforeTheNextOneStops() {
+        HostList had = new HostList(12, true, List.of());
+        HostList born = new HostList(0, true, List.of());
+        assertTrue(Warmup.patienceMs(had) <= 600, "a second to end, a second to start, and this");
+        assertTrue(Warmup.patienceMs(born) > Warmup.patienceMs(had));
+        assertTrue(Warmup.patienceMs(null) > Warmup.patienceMs(had));
+    }
+
+    @Test
+    @Timeout(60)
+    void onceItIsOverItsClientsAskNoMore() throws Exception {
+        Warmup warmup = new Warmup(Warmup.anySettings());
+        warmup.start();
+        while (warmup.served() == 0) {
+            Thread.onSpinWait();
+        }
+        warmup.halt();
+        int asked = warmup.asked();
+        try {
+            for (int i = 0; i < 1000; i++) {
+                assertEquals(asked, warmup.asked());
+            }
+        } finally {
+            warmup.end();
         }
     }
 }
