Tell a lossy network by the silence of all nodes together, and repeat a lost fetch

Symptom: from 0 s to 20 s about 87% of the requests are answered in time, 10% run out of time, the 99th percentile stands at 260 ms against a median of 20 ms, bookings suffer most; at 20 s it ends.

Of 1,995 attempts called off, 1,750 ended within 60 ms since their client hung up: these are most of the time-outs and are nobody's to mend. What is ours: 390 look-ups at all caches alike waited 220 to 240 ms, six tenths of the client's time, for an answer that never came, and 140 fetches and writes waited until the end; together one attempt in a hundred. The repeat then came too late for an aim of 167 ms. Nodes answered in 20 ms otherwise.

A bad node: silence is spread evenly (30 to 72 at each of ten). Stale connections: losses come at all idle ages, on new ones too. Descriptors (205 of 1,024), memory (54 of 192 MB) and the processor (0.42 of a core). Throttling: the level stayed at 0.

Lines at fault. NodeView.loses: "silent > LOSING" with SILENT_SMOOTH 0.2 forgets a loss within seven answers of its node, so at one loss in a hundred the short wait was hardly ever used. Decide.afterFetch and fetch: a read's fetch waited to the end and its time-out was never repeated.

A running share of silence over all nodes with a memory of 500 attempts; over 0.4% it counts as losses of the network's. The short wait still asks that a node answers quickly, and no longer goes to one that answers nothing. A fetch that is safe to repeat has the short wait once, and one repeat while nothing throttles; bookings never.

Test: LossyNetworkTest, both cases fail without the change.

--- a/src/main/java/hopglade/Decide.java
+++ b/src/main/java/hopglade/Decide.java
@@ -102,6 +102,12 @@
     static final double SILENT_SMOOTH = 0.2;
     static final double SILENT = 0.5;
     static final double LOSING = 0.05;
+    /**
+     * Weight of an attempt in the running share of silence over all nodes, and the share that counts as the
+     * network's losses. One attempt in a hundred lost at every node never shows at one of them for long.
+     */
+    static final double LOST_SMOOTH = 0.002;
+    static final double LOSSY = 0.004;
     /** Open connections a node that cost the held price. */
     static final double PRICED_TABLE = 100;
     /** Keys of the latest requests, ours or told by peers, that are remembered, to tell a hot key. */
@@ -174,6 +180,7 @@
      * Could harm where one cause overruns all nodes at once and they cut connections instead of waiting.
      */
     private double usualBreaks;
+    private double lost;
     private boolean subscribed;
     private int seen, refusedCalls;
 
@@ -370,8 +377,7 @@
         if (node != null) {
             double left = r.guard - now;
             boolean more = r.attempts + 2 < settings.limits().maxAttempts() && r.in.key() >= 0;
-            double first = node.loses(r.service.aimMs()) && !r.hurried
-                    ? Math.min(SOONEST * r.service.aimMs(), left * FIRST_TRY) : left * FIRST_TRY;
+            double first = Math.min(patience(now, r, node, !r.hurried), left * FIRST_TRY);
             r.hurried = true;
             send(now, r, node, more ? first : left, out);
         } else if (!r.missed.isEmpty() && hasOrigin) {
@@ -386,6 +392,12 @@
         }
     }
 
+    /** How long an attempt is waited for: its first briefly where silence would mean that it is lost. */
+    private double patience(double now, Held r, NodeView node, boolean first) {
+        boolean hurry = first && r.service.effect() != Effect.UNSAFE && node.loses(r.service.aimMs());
+        return hurry ? Math.min(SOONEST * r.service.aimMs(), r.guard - now) : r.guard - now;
+    }
+
     /**
      * Reads that found their pair crowded wait here for a small part of their aim; higher worth first, then
      * newest. Prevents refusals while nodes idle between bursts; a lasting overload costs each read the wait.
@@ -442,7 +454,7 @@
                 fetching.put(r.in.key(), new ArrayList<>());
                 r.fetches = true;
             }
-            send(now, r, origin, r.guard - now, out);
+            send(now, r, origin, patience(now, r, origin, r.fetchTries == 0), out);
         }
     }
 
@@ -461,7 +473,7 @@
     }
 
     private void afterFetch(double now, Held r, Outcome outcome, Actions out) {
-        boolean again = outcome != Outcome.OK && outcome != Outcome.TIMEOUT && outcome != Outcome.REJECTED;
+        boolean again = outcome != Outcome.OK && outcome != Outcome.REJECTED;
         // What the network breaks is repeated while throttled too: the token that it draws bounds the load.
         boolean may = control.level == 0 || broke(outcome) && usualBreaks > BREAKING;
         if (again && may && r.fetchTries++ == 0 && mayRepeat(now, r)) {
@@ -963,6 +975,7 @@
             }
             switch (end.outcome()) {
                 case OK, MISS -> {
+                    lost -= LOST_SMOOTH * lost;
                     onTrial = false;
                     strikes = 0;
                     spoilt -= SPOILT_SMOOTH * spoilt;
@@ -974,6 +987,7 @@
                 case CONNECT_FAILED, RESET -> strike(now, peers, STRIKES / runOfBreaks());
                 case REJECTED -> strike(now, peers, 1);
                 case TIMEOUT -> {
+                    lost += LOST_SMOOTH * (1 - lost);
                     timed(Math.max(end.elapsedMs(), eachMs * (inFlight + 1)));
                     silent += SILENT_SMOOTH * (1 - silent);
                     // A node that drops one request in four often drops two in a row and is of use.
@@ -998,12 +1012,14 @@
 
         /**
          * Whether it answers quickly or not at all: then silence means that the request is lost, and it is
-         * repeated elsewhere within its aim. Guards against machines and links that drop some of what they
+         * repeated within its aim. Guards against machines and links that drop some of what they
          * are sent while the list calls them fine. A node that is slow answers late before it falls silent,
-         * and keeps its time. Could harm where a few requests take far longer than all others.
+         * and keeps its time; so does one that answers nothing, as it needs rest and no repeats. Could harm
+         * where a few requests take far longer than all others.
          */
         boolean loses(double aimMs) {
-            return silent > LOSING && usualMs + DEVIATIONS * deviationMs < SOONEST * aimMs;
+            return (silent > LOSING || lost > LOSSY) && silent < SILENT
+                    && usualMs + DEVIATIONS * deviationMs < SOONEST * aimMs;
         }
 
         /** Learns from an attempt's time; faster while paced, as few attempts are left to learn from. */
