Serve the clients that are here on until half the longest deadline is left after SIGTERM

The listener: connections are not refused while it is open. Lost requests: owed=0 at each end.

Lines at fault. Service.LINGER_MS, 600, and ClientServer.answer: "last = draining || ...", which sent every client away with its first answer, though PROTOCOL lets clients use what they have for as long as it stays open and SIGKILL comes no sooner than the longest deadline and 0.7 s after SIGTERM.

Clients that were served before the drain keep their connections until 0.7 s and half the longest deadline have passed; those that come only then are served once. What is still open 0.1 s before the earliest SIGKILL is answered then, so that it cannot be lost.

The state line of the log now tells when the module lets only a share go on.

Tests: DrainTest.aClientThatWasServedBeforeIsServedOnUntilTheEnd and whatIsStillOpenAtTheEndIsAnsweredThen; both fail without the change.

--- a/src/main/java/hopglade/Decide.java
+++ b/src/main/java/hopglade/Decide.java
@@ -356,8 +356,9 @@
 
     @Override
     public String state() {
-        return control.level == 0 ? "not throttled" : String.format(Locale.ROOT,
+        String fetches = control.level == 0 ? "not throttled" : String.format(Locale.ROOT,
                 "throttled at level %d to %.1f fetches/s", control.level, control.rate());
+        return goOn >= 1 ? fetches : fetches + String.format(Locale.ROOT, ", %.0f%% go on", 100 * goOn);
     }
 
     /** Takes in told keys; a message that is no whole number of keys loses its rest. */
--- a/src/main/java/hopglade/proxy/ClientServer.java
+++ b/src/main/java/hopglade/proxy/ClientServer.java
@@ -86,6 +86,7 @@
     private boolean full;
     private int idle;
     private boolean draining;
+    private boolean stopped;
 
     ClientServer(EventLoop loop, Proxy proxy, Settings settings, int maxConnections) {
         this.loop = loop;
@@ -124,13 +125,18 @@
         return connections.size();
     }
 
-    /** From now on each answer is its connection's last. */
+    /**
+     * From now on each answer is its connection's last, but for clients that were served before: they may have nowhere
+     * else to go, as another proxy may be just starting.
+     */
     void drain() {
         draining = true;
+        connections.forEach(c -> c.kept = c.proven);
     }
 
     /** No new connections, and none is kept that has no request. */
     void stop() {
+        stopped = true;
         listener.close();
         List.copyOf(connections).forEach(Connection::closeIfIdle);
     }
@@ -202,6 +208,8 @@
         private ChannelFuture written;
         /** Whether it ever had a request that could be taken. */
         private boolean proven;
+        /** Whether it had one before the drain began. */
+        private boolean kept;
         private String open;
         private boolean keepAlive;
 
@@ -346,7 +354,7 @@
         private void answer(FullHttpResponse answer) {
             HttpUtil.setContentLength(answer, answer.content().readableBytes());
             // While clients wait to be accepted, a connection that is kept would keep one of them out.
-            boolean last = draining || full || crowded() || !keepAlive;
+            boolean last = stopped || draining && !kept || full || crowded() || !keepAlive;
             if (last) {
                 answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
--- a/src/main/java/hopglade/proxy/Proxy.java
+++ b/src/main/java/hopglade/proxy/Proxy.java
@@ -252,6 +252,26 @@
         }
     }
 
+    /** The process ends: whatever is open has its answer now, as one that never comes is a lost request. */
+    void answerAll() {
+        for (Call call : List.copyOf(calls.values())) {
+            Attempt out = call.out;
+            if (call.over) {
+                continue;
+            }
+            if (call.proven && out == null) {
+                refuseNow(call, 0);
+            } else {
+                failNow(call);
+            }
+            if (out != null) {
+                out.cancel();
+            } else {
+                tell(now -> router.clientGone(now, call.in.id(), this), () -> { });
+            }
+        }
+    }
+
     // What the module asks for. Each is done after the module has returned.
 
     @Override
--- a/src/main/java/hopglade/proxy/Service.java
+++ b/src/main/java/hopglade/proxy/Service.java
@@ -3,6 +3,7 @@
 import hopglade.Decide;
 import hopglade.Router;
 import hopglade.Router.Outcome;
+import hopglade.Router.ServiceClass;
 import hopglade.Router.Settings;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
@@ -26,8 +27,14 @@
     static final int RESERVED_SOCKETS = 48;
     /** Part of the other descriptors that is for clients; each of their requests has one attempt out at most. */
     private static final double CLIENT_PART = 0.5;
-    /** New connections still come for 0.4 s after SIGTERM; requests on them for a little longer. */
-    private static final long LINGER_MS = 600;
+    /**
+     * SIGKILL comes no sooner after SIGTERM than this and the longest deadline, of which no more than so much counts.
+     * Until half of that deadline is left the clients that are here are served on; the last answers are written
+     * a little before the end. A proxy that left sooner left them nobody while the next one was starting.
+     */
+    private static final double KILL_MS = 700;
+    private static final double LONGEST_MS = 3000;
+    private static final double LAST_ANSWER_MS = 100;
     private static final long DRAIN_POLL_MS = 10;
     /** How long readiness waits for discovery: a list from the configuration serves if it says nothing. */
     private static final long FIRST_NEWS_MS = 2000;
@@ -146,7 +153,10 @@
     /** Ends the service once nothing is owed, and returns then. */
     public void drain() {
         beginDrain();
-        loop.schedule(this::endDrain, LINGER_MS, TimeUnit.MILLISECONDS);
+        double longest = config.settings().classes().stream().mapToDouble(ServiceClass::deadlineMs).max().orElse(0);
+        longest = Math.min(LONGEST_MS, longest);
+        loop.schedule(this::endDrain, (long) (KILL_MS + longest / 2), TimeUnit.MILLISECONDS);
+        loop.schedule(proxy::answerAll, (long) (KILL_MS + longest - LAST_ANSWER_MS), TimeUnit.MILLISECONDS);
         try {
             ended.await();
         } catch (InterruptedException e) {
@@ -154,7 +164,7 @@
         }
     }
 
-    /** Still serves whoever comes, but each for the last time. */
+    /** Still serves whoever comes; those that come only now for the last time. */
     void beginDrain() {
         Log.info("draining");
         loop.execute(clients::drain);
--- a/src/test/java/hopglade/proxy/DrainTest.java
+++ b/src/test/java/hopglade/proxy/DrainTest.java
@@ -2,7 +2,9 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -51,4 +53,38 @@
             site.service.awaitEnd();
         }
     }
+
+    @Test
+    @Timeout(Peer.PATIENCE_S)
+    void aClientThatWasServedBeforeIsServedOnUntilTheEnd() throws Exception {
+        try (Peer.Wire kept = site.client()) {
+            kept.write(site.get(Site.LONG_S));
+            site.node.next().wire().answer(200, "v");
+            assertEquals(200, Site.status(kept.read()));
+            site.service.beginDrain();
+            for (int i = 0; i < 2; i++) {
+                kept.write(site.get(Site.LONG_S));
+                site.node.next().wire().answer(200, "v");
+                String answer = kept.read();
+                assertEquals(200, Site.status(answer));
+                assertNull(new Peer.Message(answer, kept).header("Connection"), "another proxy may not be up yet");
+            }
+            site.service.endDrain();
+            assertNull(kept.read(), "an idle client is let go");
+            site.service.awaitEnd();
+        }
+    }
+
+    @Test
+    @Timeout(Peer.PATIENCE_S)
+    void whatIsStillOpenAtTheEndIsAnsweredThen() throws Exception {
+        try (Peer.Wire held = site.client()) {
+            held.write(site.get(Site.LONG_S));
+            site.node.next();
+            long before = System.nanoTime();
+            site.service.drain();
+            assertEquals(502, Site.status(held.read()), "it may have run");
+            assertTrue(System.nanoTime() - before < TimeUnit.SECONDS.toNanos((long) Site.LONG_S));
+        }
+    }
 }
