Do not throttle the origin for errors that all nodes show alike

The origin: it answered as fast as before. The network code: errors are 500s and answers that end too soon, told as what they are.

Lines at fault. Decide.attemptEnded counted every ERROR of the origin as a bad fetch, though for broken connections Control.judgeBroken already took off the share that breaks at the caches too.

The same is done for errors: of the origin's only those count as bad that neither the median cache's share nor chance explains. Where errors are usual, one fetch is repeated while throttled too, with a token.

--- a/src/main/java/hopglade/Decide.java
+++ b/src/main/java/hopglade/Decide.java
@@ -180,6 +180,8 @@
      * Could harm where one cause overruns all nodes at once and they cut connections instead of waiting.
      */
     private double usualBreaks;
+    /** The same of answers that are errors or make no sense. */
+    private double usualErrors;
     private double lost;
     private boolean subscribed;
     private int seen, refusedCalls;
@@ -293,6 +295,8 @@
             boolean called = end.outcome() == Outcome.CANCELLED || end.outcome() == Outcome.NEVER_SENT;
             if (!called && (r == null || !r.overdue) && broke(end.outcome())) {
                 control.countBroken();
+            } else if (!called && (r == null || !r.overdue) && end.outcome() == Outcome.ERROR) {
+                control.countSpoilt();
             } else if (!called && (r == null || !r.overdue)) {
                 control.count(end.outcome() == Outcome.OK && end.elapsedMs() <= aim);
             }
@@ -476,7 +480,8 @@
     private void afterFetch(double now, Held r, Outcome outcome, Actions out) {
         boolean again = outcome != Outcome.OK && outcome != Outcome.REJECTED;
         // What the network breaks is repeated while throttled too: the token that it draws bounds the load.
-        boolean may = control.level == 0 || broke(outcome) && usualBreaks > BREAKING;
+        boolean may = control.level == 0 || broke(outcome) && usualBreaks > BREAKING
+                || outcome == Outcome.ERROR && usualErrors > BREAKING;
         if (again && may && r.fetchTries++ == 0 && mayRepeat(now, r)) {
             fetch(now, r, out);
         } else {
@@ -637,9 +642,9 @@
         }
         countOverdue(now);
         control.floor = BASE_FLOOR * Math.min(1, caches.size() / (double) settings.proxies());
-        double[] broken = caches.stream().mapToDouble(n -> n.broken).sorted().toArray();
-        usualBreaks = broken.length == 0 ? 0 : broken[(broken.length - 1) / 2];
-        control.judgeBroken(usualBreaks);
+        usualBreaks = median(caches.stream().mapToDouble(n -> n.broken).sorted().toArray());
+        usualErrors = median(caches.stream().mapToDouble(n -> n.errors).sorted().toArray());
+        control.judge(usualBreaks, usualErrors);
         control.step(INTERVAL_MS, bank.refusals);
         bank.rate(now, control.rate());
         weighModels();
@@ -653,6 +658,10 @@
         intervalEnd = now + INTERVAL_MS;
     }
 
+    private static double median(double[] sorted) {
+        return sorted.length == 0 ? 0 : sorted[(sorted.length - 1) / 2];
+    }
+
     /**
      * A fetch that is out past its aim is bad already; waiting for its end would tell of a full origin only
      * once its queue has been as long as the clients' patience. Also tells of an origin that has stopped.
@@ -776,7 +785,7 @@
         double floor = BASE_FLOOR;
         double base = BASE_FLOOR;
         private double rate = -1;
-        private int good, bad, broken, spans, learned;
+        private int good, bad, broken, spoilt, spans, learned;
 
         void count(boolean wasGood) {
             good += wasGood ? 1 : 0;
@@ -787,16 +796,25 @@
             broken++;
         }
 
+        void countSpoilt() {
+            spoilt++;
+        }
+
         /**
-         * Of broken fetches only those count, as bad, that neither the share which breaks at the cache nodes
-         * too nor chance explains: a network that breaks connections says nothing of the
+         * Of broken and of spoilt fetches only those count, as bad, that neither the share which the caches
+         * have too nor chance explains: a network that breaks connections or answers says nothing of the
          * origin's load, while an origin that cuts off what it can't take must still be throttled. Could
          * harm where origin and caches are overrun alike: late answers and time-outs alone then throttle.
          */
-        void judgeBroken(double usualBreaks) {
-            double expected = usualBreaks * (good + bad + broken);
-            bad += (int) Math.ceil(Math.max(0, broken - expected - CHANCE * Math.sqrt(expected)));
+        void judge(double usualBreaks, double usualErrors) {
+            int all = good + bad + broken + spoilt;
+            bad += unusual(broken, usualBreaks * all) + unusual(spoilt, usualErrors * all);
             broken = 0;
+            spoilt = 0;
+        }
+
+        private static int unusual(int seen, double expected) {
+            return (int) Math.ceil(Math.max(0, seen - expected - CHANCE * Math.sqrt(expected)));
         }
 
         void step(double intervalMs, int refusals) {
@@ -885,7 +903,7 @@
         double weight = 1;
         int inFlight;
         double strikes;
-        double eachMs, spoilt, broken, silent;
+        double eachMs, spoilt, broken, errors, silent;
         /** Usual time of an answered attempt and its mean deviation. */
         double usualMs, deviationMs;
         int ejections;
@@ -973,6 +991,7 @@
             lastEnd = now;
             if (end.outcome() != Outcome.CANCELLED && end.outcome() != Outcome.NEVER_SENT) {
                 broken += BROKEN_SMOOTH * ((broke(end.outcome()) ? 1 : 0) - broken);
+                errors += BROKEN_SMOOTH * ((end.outcome() == Outcome.ERROR ? 1 : 0) - errors);
             }
             switch (end.outcome()) {
                 case OK, MISS -> {
