Give a request that is heavy by its hint all its time for one attempt

The nodes answer in 40 ms, none is silent for others, and the time-outs fall into the 15 s in which some requests cost many times the usual. Each was given up after six tenths of its client's time, or sooner where silence counted as a loss, and began its work anew at another node, while the first went on with it: a cancelled attempt stops nothing.

Throttling (level 0 throughout), spoilt answers (they are repeated at once), a crowded fleet (p50 50 ms).

Lines at fault. Decide.lookUp and patience: the time of a first attempt took no heed of the request's hinted work. The repair for lossy networks made it a little worse, as the time-outs of heavy ones count as silence.

A request whose hint is over four times the running mean has no short wait and keeps no time for a repeat.

--- a/src/main/java/hopglade/Decide.java
+++ b/src/main/java/hopglade/Decide.java
@@ -108,6 +108,8 @@
      */
     static final double LOST_SMOOTH = 0.002;
     static final double LOSSY = 0.004;
+    /** Times the mean hinted work from which on a request is heavy: silence then tells of its work. */
+    static final double HEAVY = 4;
     /** Open connections a node that cost the held price. */
     static final double PRICED_TABLE = 100;
     /** Keys of the latest requests, ours or told by peers, that are remembered, to tell a hot key. */
@@ -158,6 +160,7 @@
     private List<Held> room = new ArrayList<>();
     private double intervalEnd;
     private double meanWorth;
+    private double meanWork;
     /** Running mean of 1 / aim over requests: the usual aim is harmonic, as short aims suffer first. */
     private double urgency;
     private final int[] lately;
@@ -243,6 +246,8 @@
         r.worth = worth(now, in, r.service);
         meanWorth = meanWorth == 0 ? r.worth : meanWorth + SMOOTH / 10 * (r.worth - meanWorth);
         r.low = r.worth < meanWorth;
+        r.heavy = meanWork > 0 && in.workMs() > HEAVY * meanWork;
+        meanWork = meanWork == 0 ? in.workMs() : meanWork + SMOOTH / 10 * (in.workMs() - meanWork);
         urgency += SMOOTH / 10 * (1 / Math.max(1, r.service.aimMs()) - urgency);
         out.timer(r.guard, "r" + in.id());
         if (!hasTime(now, r)) {
@@ -381,7 +386,8 @@
         NodeView node = pick(now, r);
         if (node != null) {
             double left = r.guard - now;
-            boolean more = r.attempts + 2 < settings.limits().maxAttempts() && r.in.key() >= 0;
+            // A heavy request that is given up and repeated does its work from the start once more, and is late.
+            boolean more = r.attempts + 2 < settings.limits().maxAttempts() && r.in.key() >= 0 && !r.heavy;
             double first = Math.min(patience(now, r, node, !r.hurried), left * FIRST_TRY);
             r.hurried = true;
             send(now, r, node, more ? first : left, out);
@@ -399,7 +405,7 @@
 
     /** How long an attempt is waited for: its first briefly where silence would mean that it is lost. */
     private double patience(double now, Held r, NodeView node, boolean first) {
-        boolean hurry = first && r.service.effect() != Effect.UNSAFE && node.loses(r.service.aimMs());
+        boolean hurry = first && !r.heavy && r.service.effect() != Effect.UNSAFE && node.loses(r.service.aimMs());
         return hurry ? Math.min(SOONEST * r.service.aimMs(), r.guard - now) : r.guard - now;
     }
 
@@ -760,7 +766,7 @@
         int fetchTries;
         int samePlace;
         boolean proven = true;
-        boolean low, out, overdue, streaming, pickedSecond, crowded, heldOnce, hasToken, fetches;
+        boolean low, heavy, out, overdue, streaming, pickedSecond, crowded, heldOnce, hasToken, fetches;
         /** Had an attempt with the short time: the next one gets the usual, as many may be slow at once. */
         boolean hurried;
 
