--- a/src/main/java/hopglade/Decide.java
+++ b/src/main/java/hopglade/Decide.java
@@ -386,7 +386,7 @@
         NodeView node = pick(now, r);
         if (node != null) {
             double left = r.guard - now;
-            // A heavy request that is given up and repeated does its work from the start once more, and is late.
+            // A heavy request that is repeated has its work done from the start once more, and is late.
             boolean more = r.attempts + 2 < settings.limits().maxAttempts() && r.in.key() >= 0 && !r.heavy;
             double first = Math.min(patience(now, r, node, !r.hurried), left * FIRST_TRY);
             r.hurried = true;
@@ -405,7 +405,8 @@
 
     /** How long an attempt is waited for: its first briefly where silence would mean that it is lost. */
     private double patience(double now, Held r, NodeView node, boolean first) {
-        boolean hurry = first && !r.heavy && r.service.effect() != Effect.UNSAFE && node.loses(r.service.aimMs());
+        boolean repeats = !r.heavy && r.service.effect() != Effect.UNSAFE;
+        boolean hurry = first && repeats && node.loses(r.service.aimMs());
         return hurry ? Math.min(SOONEST * r.service.aimMs(), r.guard - now) : r.guard - now;
     }
 
