Wait for the end of a begun answer a quarter of the shortest aim, not 200 ms

Evidence. 234 attempts ended as an error without a whole answer, all of them 200 ms or more after they were written: the head and some bytes had come, the rest never did. Aims are 167 ms and 83 ms there, so each such error came after the aim.

Answers that are only slow: none that stood unfinished was ever finished. Answers cut off by a close, 270 of them, are seen at once. 15 errors are 500s.

Lines at fault. NodePool.STALL_MS, 200, which suits an aim of half a second.

The time follows the site: a quarter of the shortest aim of its classes, at most the 200 ms of before.

Test: StalledAnswerTest; the first case fails without the change.

--- a/src/main/java/hopglade/proxy/NodePool.java
+++ b/src/main/java/hopglade/proxy/NodePool.java
@@ -2,6 +2,7 @@
 
 import hopglade.Router.Availability;
 import hopglade.Router.Outcome;
+import hopglade.Router.ServiceClass;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -54,8 +55,12 @@
     /** Idle connections are looked through so often in the time that they may stand, and at least each second. */
     private static final double IDLE_SWEEPS = 10;
     private static final double SWEEP_MS = 1000;
-    /** An answer that has begun and does not end in this time is spoilt: nodes write theirs in one go. */
-    private static final long STALL_MS = 200;
+    /**
+     * An answer that has begun and does not end in this part of the shortest aim, or at most in so long, is spoilt: nodes
+     * write theirs in one go, and where one came in part its rest never did. It can then still be had elsewhere in time.
+     */
+    private static final double STALL_PART = 0.25;
+    private static final double STALL_MOST_MS = 200;
     private static final byte[] START = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
 
     /** Takes how an exchange ended; {@code response} is null where no whole answer came and is released afterwards. */
@@ -71,6 +76,7 @@
     private final Deque<Connection> resting = new ArrayDeque<>();
     private final IdleAges ages = new IdleAges();
     private final LongSupplier nanos;
+    private double stallMs = STALL_MOST_MS;
     private boolean restsWatched;
     private boolean idleWatched;
     private int connections;
@@ -90,6 +96,16 @@
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, Math.max(1, (int) connectTimeoutMs));
     }
 
+    /** Takes to heart how soon answers are wanted. */
+    void serve(List<ServiceClass> classes) {
+        stallMs = stallMs(classes);
+    }
+
+    static double stallMs(List<ServiceClass> classes) {
+        double aim = classes.stream().mapToDouble(ServiceClass::aimMs).min().orElse(Double.POSITIVE_INFINITY);
+        return Math.max(1, Math.min(STALL_MOST_MS, STALL_PART * aim));
+    }
+
     /** Takes in the list. Idle connections to a host that drains, left, moved or started anew are of no use. */
     void list(HostList list) {
         if (list.whole()) {
@@ -415,7 +431,7 @@
                     if (current == stalled && begun > 0) {
                         fail(ctx, null);
                     }
-                }, STALL_MS, TimeUnit.MILLISECONDS);
+                }, (long) (stallMs * 1e6), TimeUnit.NANOSECONDS);
             }
         }
 
--- a/src/main/java/hopglade/proxy/Service.java
+++ b/src/main/java/hopglade/proxy/Service.java
@@ -71,6 +71,7 @@
         int clientSockets = Math.max(1, (int) (sockets * CLIENT_PART));
         pool = new NodePool(loop, Transport.TCP, settings.limits().connectTimeoutMs(), settings.connections().idleMs(),
                 Math.max(1, sockets - clientSockets));
+        pool.serve(settings.classes());
         proxy = new Proxy(loop, new Clock(), settings, router, pool, config.maxOpen());
         clients = new ClientServer(loop, proxy, settings, clientSockets);
         discovery = new Discovery(loop, config.discovery(), proxy, config.known(), !settings.mustSubscribe(),
