Let the warm-up's clients ask nothing more either while they still connect

WarmupTest.onceItIsOverItsClientsAskNoMore failed now and then: a client whose connection came up after the end was told asked its first request all the same. The check of the flag was missing there; the test is right.

--- a/src/main/java/hopglade/proxy/Warmup.java
+++ b/src/main/java/hopglade/proxy/Warmup.java
@@ -217,7 +217,9 @@
     private final class Asks extends SimpleChannelInboundHandler<FullHttpResponse> {
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
-            ask(ctx);
+            if (!over) {
+                ask(ctx);
+            }
         }
 
         @Override
