Weigh requests that are still on their way like all others in a proxy's first second

A cold program: these proxies had 2,000 requests of warm-up. Throttling: the level was 0.

Lines at fault. Decide.step took the young attempts off the sends as count * 1000 / MEMORY_MS, while Meter.perS divides by the part of its memory that has passed: half a second after the first send each one weighs 6.5 times as much, so what had just been sent counted as unanswered.

The meter takes the latest off its sum before it scales.

--- a/src/main/java/hopglade/Decide.java
+++ b/src/main/java/hopglade/Decide.java
@@ -657,8 +657,8 @@
         weighModels();
         double answered = cacheAnswers.perS(now) + TRIAL_PER_S;
         // Young attempts tell nothing yet; a balancer with few requests would refuse on their account.
-        double young = requests.values().stream().filter(r -> r.young(now)).count() * 1000 / Meter.MEMORY_MS;
-        answeredShare = Math.min(1, answered / Math.max(1e-9, cacheSends.perS(now) - young));
+        long young = requests.values().stream().filter(r -> r.young(now)).count();
+        answeredShare = Math.min(1, answered / Math.max(1e-9, cacheSends.perS(now, young)));
         goOn = Math.max(GO_ON_LEAST, Math.pow(PUSH * answeredShare, PUSH_POWER));
         coldChance = COLD_CARE * Math.min(answeredShare, answered / asked.perS(now));
         totalShare = caches.stream().mapToDouble(n -> n.share(now)).sum();
@@ -895,10 +895,16 @@
         }
 
         double perS(double now) {
+            return perS(now, 0);
+        }
+
+        /** The rate without so many of the latest; early on each of them weighs far more than later. */
+        double perS(double now, long latest) {
             sum *= Math.exp(-(now - at) / MEMORY_MS);
             at = now;
             since = since < 0 ? now : since;
-            return sum / MEMORY_MS * 1000 / (1 - Math.exp(-Math.max(500, now - since) / MEMORY_MS));
+            double counted = Math.max(0, sum - latest);
+            return counted / MEMORY_MS * 1000 / (1 - Math.exp(-Math.max(500, now - since) / MEMORY_MS));
         }
     }
 
