Add a command line, operator's options in TOML and a log of named events

Need: the command line was a switch over three words, the only configuration was the platform's JSON, and the log was sentences that nothing could read.

Change: ./flintmill runs the program with its tools (picocli, Jackson TOML, logback), which lie beside the program's file in target/lib and not in it. serve, benchlink and rehearse are taken apart by hand as before, so that the platform's start opens none of them. A mistake in the options is one line with file, line, key, what was found, what is allowed and the nearest known key. The log is events with fields; text by slf4j-simple, JSON by logback, chosen by provider before the first line. Package rules are a test (ArchUnit). The first part of the laboratory's model lies beside it, not yet reachable.

--- a/src/main/java/hopglade/Decide.java
+++ b/src/main/java/hopglade/Decide.java
@@ -370,6 +370,11 @@
         return goOn >= 1 ? fetches : fetches + String.format(Locale.ROOT, ", %.0f%% go on", 100 * goOn);
     }
 
+    @Override
+    public int level() {
+        return control.level;
+    }
+
     /** Takes in told keys; a message that is no whole number of keys loses its rest. */
     private void learn(ByteBuffer keys) {
         for (keys.rewind(); keys.remaining() >= Integer.BYTES;) {
--- a/src/main/java/hopglade/Main.java
+++ b/src/main/java/hopglade/Main.java
@@ -1,15 +1,23 @@
 package hopglade;
 
+import hopglade.config.BadFileException;
+import hopglade.config.Options;
+import hopglade.config.OptionsFile;
 import hopglade.proxy.Config;
 import hopglade.proxy.ConfigException;
 import hopglade.proxy.Hangup;
+import hopglade.proxy.Log;
 import hopglade.proxy.Service;
 import java.io.IOException;
+import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
-/** Starts the program: {@code serve} is one real proxy, {@code benchlink} the same decisions on the bench's wire,
- * {@code rehearse} a start that ends at once. */
+/**
+ * Starts the program: {@code serve} is one real proxy, {@code benchlink} the same decisions on the bench's wire,
+ * {@code rehearse} a start that ends at once. These three are taken apart by hand, so that a start on part of a core
+ * pays nothing for the command line; everything else goes to {@link hopglade.cli.Cli}.
+ */
 public final class Main {
 
     private static final int EXIT_FAILED = 1;
@@ -18,33 +26,50 @@
 
     private Main() { }
 
-    public static void main(String[] args) throws IOException, InterruptedException,
-            ConfigException {
-        switch (args.length == 1 ? args[0] : "") {
-            case "serve" -> serve();
-            case "rehearse" -> Service.rehearse();
-            case "benchlink" -> hopglade.benchlink.Main.main(args);
-            default -> {
-                System.err.println("usage: java -jar hopglade.jar serve|benchlink|rehearse");
-                System.exit(EXIT_USAGE);
-            }
+    public static void main(String[] args) throws IOException, InterruptedException, ConfigException {
+        String first = args.length == 0 ? "" : args[0];
+        if (first.equals("serve") && (args.length == 1 || args.length == 3 && args[1].equals("--options"))) {
+            serve(args.length == 1 ? null : args[2]);
+        } else if (first.equals("rehearse") && args.length == 1) {
+            Service.rehearse();
+        } else if (first.equals("benchlink") && args.length == 1) {
+            hopglade.benchlink.Main.main(args);
+        } else {
+            System.exit(tools(args));
         }
     }
 
-    private static void serve() throws InterruptedException {
+    private static int tools(String[] args) {
+        try {
+            return hopglade.cli.Cli.run(args);
+        } catch (NoClassDefFoundError e) {
+            System.err.println("usage: java -jar hopglade.jar serve|benchlink|rehearse; ./flintmill knows further commands");
+            return EXIT_USAGE;
+        }
+    }
+
+    private static void serve(String optionsFile) throws InterruptedException {
         // Before the first client can be told that the proxy is ready: without a handler SIGHUP ends the process.
         CompletableFuture<Service> started = new CompletableFuture<>();
         Map<String, String> environment = System.getenv();
         Hangup.handle(() -> started.thenAccept(s -> s.reload(environment)));
         Service service = null;
         try {
+            Options options = optionsFile == null ? Options.DEFAULTS : OptionsFile.read(Path.of(optionsFile));
+            Log.configure(options.log());
             service = Service.start(Config.fromEnvironment(environment));
-        } catch (ConfigException e) {
+            if (optionsFile != null) {
+                service.options(() -> OptionsFile.read(Path.of(optionsFile)), options);
+            }
+        } catch (ConfigException | BadFileException e) {
             System.err.println("hopglade: configuration: " + e.getMessage());
             System.exit(EXIT_CONFIG);
         } catch (IOException e) {
             System.err.println("hopglade: " + e.getMessage());
             System.exit(EXIT_FAILED);
+        } catch (NoClassDefFoundError e) {
+            System.err.println("hopglade: --options needs the tools beside the program: start it by ./flintmill serve");
+            System.exit(EXIT_FAILED);
         }
         // SIGTERM runs this hook; the process ends when the hook does, so it waits until nothing is owed.
         Service running = service;
--- a/src/main/java/hopglade/Router.java
+++ b/src/main/java/hopglade/Router.java
@@ -189,4 +189,9 @@
     default String state() {
         return "";
     }
+
+    /** The control level, for the log: 0 where fetches are not throttled. */
+    default int level() {
+        return 0;
+    }
 }
--- /dev/null
+++ b/src/main/java/hopglade/lab/Experiment.java
@@ -0,0 +1,45 @@
+package hopglade.lab;
+
+import hopglade.lab.faults.Fault;
+import java.util.List;
+
+/**
+ * An experiment as its file states it: ranges, not draws. Every figure has its unit in its name; a range holds the least
+ * and the most. See {@link ExperimentFile} for the keys and their bounds.
+ */
+public record Experiment(String name, String about, long seed, double durationS, Fleet fleet, Origin origin,
+                         Discovery discovery, Proxies proxies, Load load, Rules rules, List<Fault> faults,
+                         List<Expect> expects) {
+
+    /** Cache nodes, their zones and the links between them. */
+    public record Fleet(int nodes, List<String> zones, double[] linkMs, double localMs, List<Kind> kinds, double missWorkMs,
+                        double handshakeMs, int connections, double errorShare, double ttlS, long keys, double[] bytes,
+                        double kept) { }
+
+    /** A kind of machine and its share of the nodes. */
+    public record Kind(String name, double share, int cores, double[] speed, int slots, int room, double[] coldFrom,
+                       double coldS, double crowding) { }
+
+    public record Origin(int cores, double speed, int slots, int room, double fetchShare, double writeTimes,
+                         double fallMultiple, double fallS, double[] downS) { }
+
+    public record Discovery(double[] delayS, double[] weightS) { }
+
+    /** {@code run} is the command that starts one; empty for that of deploy/balancer.toml. */
+    public record Proxies(int count, String run, int memoryMb, int sockets, double noticeS) { }
+
+    public record Load(double rate, double zipf, double drift, int retries, double[] retryWaitMs, double honours,
+                       boolean marksRetries, double[] patience, double costHintError, double maxRetryAfterMs,
+                       double latenessMs, List<Class> classes) { }
+
+    /** A class of requests; {@code effect} as {@link hopglade.Router.Effect}. */
+    public record Class(String name, double share, double[] workMs, double aimMs, double deadlineMs, double worth,
+                        hopglade.Router.Effect effect, boolean write, double repeatWindowMs) { }
+
+    /** The figures of the rules; {@code slackMs} is how late a final answer may come. */
+    public record Rules(double slackMs, double drainMs, double coldMultiple, double coldWindowMs, double refusalIdleShare,
+                        int attempts, boolean secondCopies) { }
+
+    /** A bound on a figure of the results; infinite where a side is open. */
+    public record Expect(String figure, double min, double max) { }
+}
--- /dev/null
+++ b/src/main/java/hopglade/lab/faults/Fault.java
@@ -0,0 +1,101 @@
+package hopglade.lab.faults;
+
+import java.util.EnumSet;
+import java.util.Set;
+
+/**
+ * One fault of the schedule. Figures that its kind does not have are 0 or empty.
+ *
+ * @param what     its kind
+ * @param atS      when it begins, in seconds of the run
+ * @param forS     how long it lasts, in seconds
+ * @param target   a node ({@code node-3}, {@code *} for all), {@code origin}, a proxy ({@code proxy-0}, {@code *}) or a zone
+ * @param share    part of what it strikes, 0 to 1
+ * @param factor   how much slower or heavier, as a multiple; for {@code discovery-stale} the seconds that news is later;
+ *                 for {@code hostile} the peers a second
+ * @param keys     keys that turn hot
+ */
+public record Fault(Kind what, double atS, double forS, String target, double share, double factor, int keys) {
+
+    /** Keys that a fault's table may hold beside {@code what} and {@code at_s}. */
+    public enum Key { FOR_S, NODE, PROXY, ZONE, SHARE, FACTOR, KEYS, CLASS }
+
+    /** Every kind of fault, and the keys that it has; all of them are needed. */
+    public enum Kind {
+        /** The node's process dies; the list hears of it late. */
+        NODE_KILL(Key.NODE),
+        /** It dies and is back, empty and cold, after {@code for_s}. */
+        NODE_RESTART(Key.NODE, Key.FOR_S),
+        /** The list says that it drains; after {@code for_s} it is gone. */
+        NODE_DRAIN(Key.NODE, Key.FOR_S),
+        /** The machine says nothing more: connections stay open and silent, new ones never come up. */
+        NODE_SILENT(Key.NODE, Key.FOR_S),
+        /** All its work takes {@code factor} times as long. */
+        NODE_SLOW(Key.NODE, Key.FOR_S, Key.FACTOR),
+        /** A share of its requests ends in an error. */
+        NODE_ERRORS(Key.NODE, Key.FOR_S, Key.SHARE),
+        /** A share of new connections is reset as soon as it is open, and idle ones at the beginning. */
+        RESET_BEFORE(Key.NODE, Key.FOR_S, Key.SHARE),
+        /** A share of connections is reset in place of the answer, when the request has run. */
+        RESET_AFTER(Key.NODE, Key.FOR_S, Key.SHARE),
+        /** A share of answers ends in the middle. */
+        HALF_ANSWER(Key.NODE, Key.FOR_S, Key.SHARE),
+        /** A share of answers is no HTTP. */
+        SPOILT_ANSWER(Key.NODE, Key.FOR_S, Key.SHARE),
+        /** The origin works on nothing. */
+        ORIGIN_STALL(Key.FOR_S),
+        /** The origin takes {@code factor} times as long. */
+        ORIGIN_SLOW(Key.FOR_S, Key.FACTOR),
+        /** A zone is cut off from the others, both ways. */
+        ZONE_CUT(Key.ZONE, Key.FOR_S),
+        /** Discovery tells a proxy nothing, and takes no connection. */
+        DISCOVERY_SILENT(Key.PROXY, Key.FOR_S),
+        /** News of the list comes {@code factor} seconds later than usual. */
+        DISCOVERY_STALE(Key.FOR_S, Key.FACTOR),
+        /** A share of the keys goes void everywhere at once. */
+        MASS_VOIDING(Key.SHARE),
+        /** So many keys draw a share of all requests. */
+        HOT_KEY(Key.FOR_S, Key.SHARE, Key.KEYS),
+        /** A share of one class's requests costs {@code factor} times the usual. */
+        HEAVY(Key.CLASS, Key.FOR_S, Key.SHARE, Key.FACTOR),
+        /** All arrivals come {@code factor} times as often. */
+        BURST(Key.FOR_S, Key.FACTOR),
+        /** So many peers a second ({@code factor}) that are slow, endless, malformed or silent. */
+        HOSTILE(Key.FOR_S, Key.FACTOR),
+        /** A planned restart: SIGTERM, and it is started again after {@code for_s}. */
+        PROXY_TERM(Key.PROXY, Key.FOR_S),
+        /** SIGKILL, and it is started again after {@code for_s}. */
+        PROXY_KILL(Key.PROXY, Key.FOR_S),
+        /** Its discovery moves to another address, and SIGHUP tells it so. */
+        PROXY_HUP(Key.PROXY),
+        /** It is stopped for so long, and goes on. */
+        PROXY_STOP(Key.PROXY, Key.FOR_S);
+
+        private final Set<Key> keys;
+
+        Kind(Key first, Key... more) {
+            keys = EnumSet.of(first, more);
+        }
+
+        public Set<Key> keys() {
+            return keys;
+        }
+
+        /** Whether it changes what is asked, and so belongs to the load. */
+        public boolean ofLoad() {
+            return this == HOT_KEY || this == HEAVY || this == BURST;
+        }
+    }
+
+    public double atMs() {
+        return atS * 1000;
+    }
+
+    public double endMs() {
+        return (atS + forS) * 1000;
+    }
+
+    public boolean at(double ms) {
+        return ms >= atMs() && ms < endMs();
+    }
+}
--- /dev/null
+++ b/src/main/java/hopglade/lab/ledger/Ledger.java
@@ -0,0 +1,211 @@
+package hopglade.lab.ledger;
+
+import hopglade.lab.world.World.Health;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * Writes down what a driver saw. Clients and machines may be driven by two threads: tries belong to the first, attempts to
+ * the second, and nobody reads before both have ended. Times are milliseconds of the run, as the driver's one clock has them.
+ */
+public final class Ledger {
+
+    /** What became of an attempt at its machine. */
+    public enum Verdict {
+        /** It was taken and nothing has been heard of it: it may have run, or may yet. */
+        OPEN(false),
+        /** 200: it ran. */
+        RAN(false),
+        /** 404 at a cache node: no effect. */
+        MISSED(true),
+        /** 503 with X-Rejected: never ran. */
+        REJECTED(true),
+        /** 500: it may have run. */
+        ERRED(false),
+        /** It ran, and the answer was cut, spoilt or reset. */
+        BROKEN(false);
+
+        private final boolean provesNotRun;
+
+        Verdict(boolean provesNotRun) {
+            this.provesNotRun = provesNotRun;
+        }
+
+        public boolean provesNotRun() {
+            return provesNotRun;
+        }
+    }
+
+    /** One attempt as its machine saw it; {@code answeredAt} is when the answer's last byte reached the proxy, or infinite. */
+    public static final class Attempt {
+        public final long number;
+        public final String call;
+        public final String machine;
+        public final boolean origin;
+        public final int proxy;
+        public final double firstByteAt;
+        public final double lastByteAt;
+        /** Work that it weighs in the machine's budget, in core-milliseconds. */
+        public final double workMs;
+        public Verdict verdict = Verdict.OPEN;
+        public double answeredAt = Double.POSITIVE_INFINITY;
+        /** When the proxy ended its side; infinite while it had not. */
+        public double closedAt = Double.POSITIVE_INFINITY;
+        public boolean ran;
+        public boolean atColdNode;
+
+        public Attempt(long number, String call, String machine, boolean origin, int proxy, double firstByteAt,
+                       double lastByteAt, double workMs) {
+            this.number = number;
+            this.call = call;
+            this.machine = machine;
+            this.origin = origin;
+            this.proxy = proxy;
+            this.firstByteAt = firstByteAt;
+            this.lastByteAt = lastByteAt;
+            this.workMs = workMs;
+        }
+    }
+
+    /** A final answer as the client read it. {@code retryAfterMs} is NaN without one; {@code made} is the attempt named in a served body, or 0. */
+    public record Reply(double at, int status, double retryAfterMs, long made) { }
+
+    /** One try of a client. */
+    public static final class Try {
+        public final String id;
+        public final int first;
+        public final int type;
+        public final int proxy;
+        public final double sentAt;
+        public final double budgetMs;
+        public final List<Reply> replies = new ArrayList<>(1);
+        public final List<Attempt> attempts = Collections.synchronizedList(new ArrayList<>(2));
+        /** When the proxy closed on it without a whole answer; infinite if it did not. */
+        public double lostAt = Double.POSITIVE_INFINITY;
+        /** When the client stopped waiting; infinite if it had an answer. */
+        public double gaveUpAt = Double.POSITIVE_INFINITY;
+        /** The proxy began an answer that it could not finish. */
+        public boolean begun;
+
+        Try(String id, int first, int type, int proxy, double sentAt, double budgetMs) {
+            this.id = id;
+            this.first = first;
+            this.type = type;
+            this.proxy = proxy;
+            this.sentAt = sentAt;
+            this.budgetMs = budgetMs;
+        }
+
+        public double endedAt() {
+            double replied = replies.isEmpty() ? Double.POSITIVE_INFINITY : replies.get(0).at();
+            return Math.min(replied, Math.min(lostAt, gaveUpAt));
+        }
+    }
+
+    /** Discovery told a proxy of a machine; {@code startedAt} is negative for long ago. */
+    public record Told(int proxy, String machine, Health health, double startedAt, double at) { }
+
+    /** A machine started cold, and how its capacity grew. */
+    public record Started(String machine, double at, double coldMs, double coldCapacity, double fullCapacity) {
+
+        double capacity(double now) {
+            double part = Math.min(1, Math.max(0, (now - at) / coldMs));
+            return coldCapacity + (fullCapacity - coldCapacity) * part;
+        }
+    }
+
+    /** For a cause of ours a proxy could not do its work from one time to another. */
+    public record Excuse(int proxy, double from, double to, String why) { }
+
+    /** The origin stopped because of what it was sent. */
+    public record OriginStop(double at) { }
+
+    private final Map<String, Try> tries = new ConcurrentHashMap<>();
+    private final List<Attempt> attempts = Collections.synchronizedList(new ArrayList<>());
+    private final List<Attempt> strangers = Collections.synchronizedList(new ArrayList<>());
+    private final List<Told> told = Collections.synchronizedList(new ArrayList<>());
+    private final List<Told> changes = Collections.synchronizedList(new ArrayList<>());
+    private final List<Started> started = Collections.synchronizedList(new ArrayList<>());
+    private final List<Excuse> excuses = Collections.synchronizedList(new ArrayList<>());
+    private final List<OriginStop> stops = Collections.synchronizedList(new ArrayList<>());
+
+    /** A client's try is about to go out; its time runs from its last byte. */
+    public Try sent(String id, int first, int type, int proxy, double at, double budgetMs) {
+        Try t = new Try(id, first, type, proxy, at, budgetMs);
+        tries.put(id, t);
+        return t;
+    }
+
+    /** An attempt's last byte has come to a machine; one with an id that no client sent is kept apart. */
+    public void attempt(Attempt a) {
+        attempts.add(a);
+        Try t = tries.get(a.call);
+        if (t == null) {
+            strangers.add(a);
+        } else {
+            t.attempts.add(a);
+        }
+    }
+
+    public void told(Told entry) {
+        told.add(entry);
+    }
+
+    /** The list itself changed; proxies hear of it later. */
+    public void changed(String machine, Health health, double startedAt, double at) {
+        changes.add(new Told(-1, machine, health, startedAt, at));
+    }
+
+    public void started(Started start) {
+        started.add(start);
+    }
+
+    public void excuse(Excuse excuse) {
+        excuses.add(excuse);
+    }
+
+    public void originStopped(double at) {
+        stops.add(new OriginStop(at));
+    }
+
+    public Try find(String id) {
+        return tries.get(id);
+    }
+
+    /** All tries in the order in which they were sent. */
+    public List<Try> tries() {
+        return tries.values().stream().sorted(Comparator.comparingDouble((Try t) -> t.sentAt).thenComparing(t -> t.id)).toList();
+    }
+
+    public List<Attempt> attempts() {
+        return List.copyOf(attempts);
+    }
+
+    List<Attempt> strangers() {
+        return List.copyOf(strangers);
+    }
+
+    List<Told> told() {
+        return List.copyOf(told);
+    }
+
+    List<Told> changes() {
+        return List.copyOf(changes);
+    }
+
+    List<Started> started() {
+        return List.copyOf(started);
+    }
+
+    List<OriginStop> stops() {
+        return List.copyOf(stops);
+    }
+
+    boolean excused(int proxy, double from, double to) {
+        return excuses.stream().anyMatch(e -> e.proxy() == proxy && e.from() <= to && e.to() >= from);
+    }
+}
--- /dev/null
+++ b/src/main/java/hopglade/lab/ledger/Rules.java
@@ -0,0 +1,262 @@
+package hopglade.lab.ledger;
+
+import hopglade.Router.Effect;
+import hopglade.lab.Experiment;
+import hopglade.lab.ledger.Ledger.Attempt;
+import hopglade.lab.ledger.Ledger.Reply;
+import hopglade.lab.ledger.Ledger.Started;
+import hopglade.lab.ledger.Ledger.Told;
+import hopglade.lab.ledger.Ledger.Try;
+import hopglade.lab.world.World.Health;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.List;
+import java.util.Locale;
+
+/** The rules that a fleet of proxies owes, each proved or disproved from a ledger. */
+public final class Rules {
+
+    /** The rules' names, as they stand in results. */
+    public enum Rule {
+        /** Exactly one final answer for all that was taken. */
+        ONE_ANSWER,
+        /** It comes before the client gives up, and the slack. */
+        IN_TIME,
+        /** What was served was made by a machine for this request. */
+        MADE_FOR_IT,
+        /** No attempt and no refusal that the class does not allow once it may have run. */
+        DUPLICATE,
+        /** No new work to a machine that drains or is gone, from a while after that was told. */
+        DRAIN,
+        /** No cold machine is sent more than a multiple of what it can do. */
+        COLD_NODE,
+        /** Misses at cold nodes make no large part of a load that stops the origin. */
+        COLD_ORIGIN,
+        /** A refusal says when to come again, and comes at once. */
+        REFUSAL,
+        /** Every attempt carries an id that a client sent. */
+        KNOWN_ID
+    }
+
+    /** A broken rule with what proves it. */
+    public record Violation(Rule rule, String request, double atMs, String proof) {
+
+        @Override
+        public String toString() {
+            return String.format(Locale.ROOT, "%s %s at %.1f ms: %s", rule.name().toLowerCase(Locale.ROOT).replace('_', '-'), request,
+                    atMs, proof);
+        }
+    }
+
+    /** What discovery has to tell counts as told so long after it changed, whether it arrived or not. */
+    private static final double TOLD_MS = 6000;
+    /** Part of the load of a cold machine that must come from proxies that knew of its start. */
+    private static final double KNEW = 2.0 / 3;
+    /** Part of what a stopping origin was sent that cold nodes' misses may make. */
+    private static final double COLD_PART = 0.3;
+    private static final int HTTP_OK = 200;
+    private static final int HTTP_MANY = 429;
+    private static final int HTTP_UNAVAILABLE = 503;
+
+    private final Ledger ledger;
+    private final Experiment experiment;
+    private final double fallMs;
+    private final List<Violation> found = new ArrayList<>();
+
+    private Rules(Ledger ledger, Experiment experiment) {
+        this.ledger = ledger;
+        this.experiment = experiment;
+        this.fallMs = experiment.origin().fallS() * 1000;
+    }
+
+    /** Every violation in the ledger, in the order of time. */
+    public static List<Violation> check(Ledger ledger, Experiment experiment) {
+        Rules rules = new Rules(ledger, experiment);
+        ledger.tries().forEach(rules::tried);
+        ledger.strangers().forEach(a -> rules.broken(Rule.KNOWN_ID, a.call, a.lastByteAt, "came to " + a.machine + ", and no client sent it"));
+        rules.drains();
+        ledger.started().forEach(rules::cold);
+        ledger.stops().forEach(s -> rules.originStop(s.at()));
+        rules.found.sort(Comparator.comparingDouble(Violation::atMs));
+        return List.copyOf(rules.found);
+    }
+
+    private void broken(Rule rule, String request, double at, String proof) {
+        found.add(new Violation(rule, request, at, proof));
+    }
+
+    private static boolean refused(Reply reply) {
+        return reply.status() == HTTP_MANY || reply.status() == HTTP_UNAVAILABLE;
+    }
+
+    private void tried(Try t) {
+        boolean excused = ledger.excused(t.proxy, t.sentAt, Math.min(t.endedAt(), t.sentAt + t.budgetMs + experiment.rules().slackMs()));
+        double due = t.sentAt + t.budgetMs + experiment.rules().slackMs();
+        List<Attempt> attempts = t.attempts.stream().sorted(Comparator.comparingDouble(a -> a.firstByteAt)).toList();
+        if (t.replies.size() > 1) {
+            broken(Rule.ONE_ANSWER, t.id, t.replies.get(1).at(), t.replies.size() + " final answers: " + t.replies);
+        }
+        if (t.replies.isEmpty() && !excused && !t.begun) {
+            broken(Rule.ONE_ANSWER, t.id, Math.min(t.lostAt, t.gaveUpAt), "sent at " + ms(t.sentAt) + " to proxy-" + t.proxy + " and "
+                    + (t.lostAt < t.gaveUpAt ? "closed at " + ms(t.lostAt) + " without an answer" : "not answered by " + ms(due))
+                    + ", attempts " + listed(attempts));
+        } else if (!t.replies.isEmpty() && t.replies.get(0).at() > due && !excused) {
+            broken(Rule.IN_TIME, t.id, t.replies.get(0).at(), "due at " + ms(due));
+        }
+        for (Reply reply : t.replies) {
+            if (reply.status() == HTTP_OK) {
+                served(t, reply, attempts);
+            } else if (refused(reply)) {
+                refusal(t, reply, attempts, excused);
+            }
+        }
+        repeats(t, attempts);
+    }
+
+    private void served(Try t, Reply reply, List<Attempt> attempts) {
+        if (attempts.stream().noneMatch(a -> a.number == reply.made() && a.ran && a.answeredAt <= reply.at() + 1)) {
+            broken(Rule.MADE_FOR_IT, t.id, reply.at(), "its body names attempt " + reply.made() + ", and its own are " + listed(attempts));
+        }
+    }
+
+    private void refusal(Try t, Reply reply, List<Attempt> attempts, boolean excused) {
+        Effect effect = experiment.load().classes().get(t.type).effect();
+        for (Attempt a : attempts) {
+            if (effect == Effect.UNSAFE && !provedBy(a, reply.at())) {
+                broken(Rule.DUPLICATE, t.id, reply.at(), "refused as harmless to repeat though " + listed(List.of(a)) + " may have run");
+            }
+        }
+        if (Double.isNaN(reply.retryAfterMs())) {
+            broken(Rule.REFUSAL, t.id, reply.at(), "no Retry-After");
+        }
+        double idleSince = t.sentAt;
+        for (Attempt a : attempts) {
+            idleSince = Math.max(idleSince, Math.min(Math.min(a.answeredAt, a.closedAt), reply.at()));
+        }
+        double share = experiment.rules().refusalIdleShare();
+        if (!excused && reply.at() - idleSince > share * t.budgetMs + experiment.rules().slackMs()) {
+            broken(Rule.REFUSAL, t.id, reply.at(), "held back: nothing was out for it since " + ms(idleSince));
+        }
+    }
+
+    /** Whether by a time the proxy had proof that an attempt did not run. */
+    private static boolean provedBy(Attempt a, double at) {
+        return a.verdict.provesNotRun() && a.answeredAt <= at;
+    }
+
+    private void repeats(Try t, List<Attempt> attempts) {
+        Experiment.Class type = experiment.load().classes().get(t.type);
+        if (attempts.size() > experiment.rules().attempts()) {
+            broken(Rule.DUPLICATE, t.id, t.sentAt, attempts.size() + " attempts: " + listed(attempts));
+        }
+        if (attempts.stream().filter(a -> a.ran).count() > 1 && type.effect() == Effect.UNSAFE) {
+            broken(Rule.DUPLICATE, t.id, t.sentAt, "ran twice: " + listed(attempts));
+        }
+        Attempt mayHaveRun = null;
+        for (Attempt a : attempts) {
+            if (mayHaveRun != null && type.effect() == Effect.UNSAFE) {
+                broken(Rule.DUPLICATE, t.id, a.firstByteAt, "sent again though it may have run: " + listed(attempts));
+            } else if (mayHaveRun != null && type.effect() == Effect.KEYED
+                    && a.firstByteAt > mayHaveRun.lastByteAt + type.repeatWindowMs() + experiment.rules().slackMs()) {
+                broken(Rule.DUPLICATE, t.id, a.firstByteAt, "sent again past the window of " + ms(type.repeatWindowMs()) + ": " + listed(attempts));
+            }
+            double at = a.firstByteAt;
+            Attempt before = mayHaveRun;
+            if (!experiment.rules().secondCopies() && before != null && Math.min(before.answeredAt, before.closedAt) > at + 1) {
+                broken(Rule.DUPLICATE, t.id, at, "a second copy while the first is out: " + listed(attempts));
+            }
+            // The next one begins after this: what is proved by then decides.
+            double next = attempts.stream().filter(b -> b.firstByteAt > at).mapToDouble(b -> b.firstByteAt).min().orElse(Double.POSITIVE_INFINITY);
+            if (mayHaveRun == null && !provedBy(a, next)) {
+                mayHaveRun = a;
+            }
+        }
+    }
+
+    private void drains() {
+        List<Told> all = new ArrayList<>(ledger.told());
+        for (Told change : ledger.changes()) {
+            for (int proxy = 0; proxy < experiment.proxies().count(); proxy++) {
+                all.add(new Told(proxy, change.machine(), change.health(), change.startedAt(), change.at() + TOLD_MS));
+            }
+        }
+        all.sort(Comparator.comparingDouble(Told::at));
+        for (Attempt a : ledger.attempts()) {
+            Told news = null;
+            double unfitSince = 0;
+            double startedAt = Double.NEGATIVE_INFINITY;
+            for (Told told : all) {
+                if (told.proxy() != a.proxy || !told.machine().equals(a.machine) || told.at() > a.firstByteAt) {
+                    continue;
+                }
+                // What is known of a later start stands against late news of an earlier end.
+                if (told.health() == Health.UP) {
+                    news = told;
+                    startedAt = Math.max(startedAt, told.startedAt());
+                } else if (told.startedAt() >= startedAt && (news == null || news.health() == Health.UP)) {
+                    news = told;
+                    unfitSince = told.at();
+                }
+            }
+            double limit = experiment.rules().drainMs() + experiment.rules().slackMs();
+            if (news != null && news.health() != Health.UP && a.firstByteAt > unfitSince + limit) {
+                broken(Rule.DRAIN, a.call, a.firstByteAt, "sent to " + a.machine + " by proxy-" + a.proxy + ", told " + news.health() + " at " + ms(unfitSince));
+            }
+        }
+    }
+
+    /** The work sent to a cold machine within any window must stay under a multiple of its capacity over that window. */
+    private void cold(Started start) {
+        double window = experiment.rules().coldWindowMs();
+        double multiple = experiment.rules().coldMultiple();
+        Deque<Attempt> recent = new ArrayDeque<>();
+        List<Attempt> sent = ledger.attempts().stream().filter(a -> a.machine.equals(start.machine()) && a.lastByteAt >= start.at()
+                && a.lastByteAt < start.at() + start.coldMs()).sorted(Comparator.comparingDouble(a -> a.lastByteAt)).toList();
+        double largest = sent.stream().mapToDouble(a -> a.workMs).max().orElse(0);
+        for (Attempt a : sent) {
+            recent.add(a);
+            while (recent.peek().lastByteAt < a.lastByteAt - window) {
+                recent.remove();
+            }
+            double work = recent.stream().mapToDouble(r -> r.workMs).sum();
+            double known = recent.stream().filter(r -> knew(r.proxy, start, r.firstByteAt)).mapToDouble(r -> r.workMs).sum();
+            double middle = Math.max(start.at(), a.lastByteAt - window / 2);
+            double budget = multiple * start.capacity(middle) * window + largest;
+            if (multiple > 0 && work > budget && known >= KNEW * work) {
+                broken(Rule.COLD_NODE, start.machine(), a.lastByteAt, String.format(Locale.ROOT,
+                        "sent %.0f core-ms in %.0f ms, allowed are %.0f, by %s", work, window, budget, listed(recent.stream().limit(3).toList())));
+                return;
+            }
+        }
+    }
+
+    private boolean knew(int proxy, Started start, double at) {
+        return at >= start.at() + TOLD_MS || ledger.told().stream().anyMatch(t -> t.proxy() == proxy && t.at() <= at
+                && t.machine().equals(start.machine()) && t.startedAt() == start.at());
+    }
+
+    private void originStop(double at) {
+        List<Attempt> sent = ledger.attempts().stream().filter(a -> a.origin && a.lastByteAt > at - fallMs && a.lastByteAt <= at).toList();
+        double work = sent.stream().mapToDouble(a -> a.workMs).sum();
+        double cold = sent.stream().filter(a -> ledger.find(a.call) != null
+                && ledger.find(a.call).attempts.stream().anyMatch(b -> b.atColdNode && b.verdict == Ledger.Verdict.MISSED)).mapToDouble(a -> a.workMs).sum();
+        if (work > 0 && cold > COLD_PART * work) {
+            broken(Rule.COLD_ORIGIN, "origin", at, String.format(Locale.ROOT, "stopped, and %.0f%% of what it was sent were misses at cold nodes", 100 * cold / work));
+        }
+    }
+
+    private static String ms(double at) {
+        return String.format(Locale.ROOT, "%.1f ms", at);
+    }
+
+    private static String listed(List<Attempt> attempts) {
+        StringBuilder text = new StringBuilder("[");
+        for (Attempt a : attempts) {
+            text.append(text.length() > 1 ? ", " : "").append(a.machine).append(" at ").append(ms(a.firstByteAt)).append(' ')
+                    .append(a.verdict.name().toLowerCase(Locale.ROOT));
+        }
+        return text.append(']').toString();
+    }
+}
--- a/src/main/java/hopglade/proxy/Discovery.java
+++ b/src/main/java/hopglade/proxy/Discovery.java
@@ -118,7 +118,7 @@
             return;
         }
         watch = null;
-        log.odd("no watch on discovery; the list stays as of version " + version);
+        log.odd("watch_lost", "version", version);
         if (pushed) {
             loop.schedule(() -> {
                 // A move has opened one meanwhile.
@@ -138,11 +138,11 @@
             try {
                 HostList list = HostList.parse(JsonParser.parseString(line).getAsJsonObject());
                 version = list.version();
-                list.hosts().forEach(h -> Log.info("list " + version + ": " + h.node().id() + " "
-                        + h.node().availability() + " at " + h.dial()));
+                list.hosts().forEach(h -> Log.event("list", "version", version, "node", h.node().id(),
+                        "availability", h.node().availability(), "dial", h.dial()));
                 proxy.hosts(list.whole() ? ListKind.FULL : ListKind.CHANGES, list);
             } catch (RuntimeException e) {
-                log.odd("a line of discovery was dropped: " + e.getMessage());
+                log.odd("list_line_dropped", "cause", e.getMessage());
             }
         }
         heard.run();
@@ -175,7 +175,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            log.odd("the watch on discovery broke: " + cause);
+            log.odd("watch_broke", "cause", cause);
             ctx.close();
         }
     }
--- a/src/main/java/hopglade/proxy/PeerEar.java
+++ b/src/main/java/hopglade/proxy/PeerEar.java
@@ -24,7 +24,7 @@
             try {
                 channel.bind(address).configureBlocking(false).register(selector, SelectionKey.OP_READ);
             } catch (IOException e) {
-                Log.info("no peers are heard before the start: " + e.getMessage());
+                Log.event("peers_unheard", "cause", e.getMessage());
             }
         }
     }
--- a/src/main/java/hopglade/proxy/Peers.java
+++ b/src/main/java/hopglade/proxy/Peers.java
@@ -46,7 +46,7 @@
     /** Sends to every other proxy. */
     void tell(byte[] contents) {
         if (channel == null || contents.length > MAX_MESSAGE) {
-            log.odd("a message to peers was not sent: " + contents.length + " bytes");
+            log.odd("peer_message_unsent", "bytes", contents.length);
         } else if (config.peersAll() != null) {
             send(contents, config.peersAll());
         } else {
@@ -69,7 +69,7 @@
             int from = config.peers().indexOf(packet.sender());
             int length = packet.content().readableBytes();
             if (from < 0 || length > MAX_MESSAGE) {
-                log.odd("a datagram was dropped: " + length + " bytes from " + packet.sender());
+                log.odd("datagram_dropped", "bytes", length, "from", packet.sender());
             } else if (from != self) {
                 proxy.peerMessage(from, ByteBufUtil.getBytes(packet.content()));
             }
@@ -78,7 +78,7 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             // An unreachable peer shows as an error on this socket; the socket itself is fine.
-            log.odd("peer socket: " + cause);
+            log.odd("peer_socket", "cause", cause);
         }
     }
 }
--- a/src/main/java/hopglade/proxy/Proxy.java
+++ b/src/main/java/hopglade/proxy/Proxy.java
@@ -122,6 +122,10 @@
         return router.state();
     }
 
+    int level() {
+        return router.level();
+    }
+
     void hosts(ListKind kind, HostList list) {
         list.nodes().stream().filter(n -> n.model() != null && n.model().equals(settings.originModel()))
                 .forEach(n -> origin = n.id());
@@ -223,7 +227,7 @@
             action.run();
             return true;
         } catch (RuntimeException | StackOverflowError | AssertionError e) {
-            Log.error("a decision or its execution failed", e);
+            Log.error("decision_failed", e);
             return false;
         }
     }
@@ -244,7 +248,7 @@
     /** The module owes an answer before this; without one the request would be lost. */
     private void overdue(Call call) {
         if (!call.over) {
-            log.odd("no answer was decided in time for " + call.in.id());
+            log.odd("overdue", "request", call.in.id());
             if (call.out != null) {
                 call.out.cancel();
             }
--- a/src/main/java/hopglade/proxy/Service.java
+++ b/src/main/java/hopglade/proxy/Service.java
@@ -5,6 +5,8 @@
 import hopglade.Router.Outcome;
 import hopglade.Router.ServiceClass;
 import hopglade.Router.Settings;
+import hopglade.config.BadFileException;
+import hopglade.config.Options;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -36,7 +38,6 @@
     private static final long DRAIN_POLL_MS = 10;
     /** How long readiness waits for discovery: a list from the configuration serves if it says nothing. */
     private static final long FIRST_NEWS_MS = 2000;
-    private static final long TALLY_S = 10;
     /** A configuration with one of everything, at addresses that any machine has. */
     static final String REHEARSED = """
             {"name": "rehearsal", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:0", "seed": "1", "peer_listen": "127.0.0.1:0",
@@ -63,6 +64,8 @@
     private final Peers peers;
     private InetSocketAddress listening;
     private String state = "";
+    private OptionsSource options = () -> Options.DEFAULTS;
+    private int tallyS = Options.DEFAULTS.log().tallyS();
 
     private Service(Config config, Router router) {
         this.config = config;
@@ -94,6 +97,31 @@
         service.awaitEnd();
     }
 
+    /** Where the operator's options are read at a reload; throws if they can't be taken. */
+    public interface OptionsSource {
+        Options read() throws BadFileException;
+    }
+
+    /** Uses these options from the start and reads them again at each reload. Called before the first reload. */
+    public void options(OptionsSource source, Options first) {
+        loop.execute(() -> {
+            options = source;
+            configure(first);
+        });
+    }
+
+    private void configure(Options next) {
+        Log.configure(next.log());
+        tallyS = next.log().tallyS();
+    }
+
+    private void tallyLater() {
+        loop.schedule(() -> {
+            logTally();
+            tallyLater();
+        }, tallyS, TimeUnit.SECONDS);
+    }
+
     /** Starts a proxy with the project's decisions. */
     public static Service start(Config config) throws IOException, InterruptedException {
         Warmup.run(config.settings(), config.peerListen(), config.known());
@@ -112,8 +140,8 @@
     }
 
     private void open() throws IOException, InterruptedException {
-        Log.info(config.known() == null ? "no list is known from before"
-                : "list " + config.known().version() + " of " + config.known().hosts().size() + " hosts is known from before");
+        Log.event("known", "version", config.known() == null ? 0 : config.known().version(),
+                "hosts", config.known() == null ? 0 : config.known().hosts().size());
         if (peers != null) {
             bound(peers.listen(), config.peerListen());
         }
@@ -123,7 +151,7 @@
         loop.execute(discovery::start);
         long patience = config.settings().mustSubscribe() ? 0 : FIRST_NEWS_MS;
         loop.schedule(clients::ready, patience, TimeUnit.MILLISECONDS);
-        loop.scheduleAtFixedRate(this::logTally, TALLY_S, TALLY_S, TimeUnit.SECONDS);
+        tallyLater();
         loop.scheduleAtFixedRate(this::logState, STATE_S, STATE_S, TimeUnit.SECONDS);
     }
 
@@ -152,17 +180,19 @@
         try {
             loop.execute(() -> reloadNow(environment));
         } catch (RejectedExecutionException e) {
-            Log.info("no new configuration: the proxy has ended");
+            Log.event("reload_refused", "cause", "the proxy has ended");
         }
     }
 
     private void reloadNow(Map<String, String> environment) {
         try {
             Config next = Config.reread(environment);
-            Log.info("new configuration: discovery at " + next.discovery());
+            Options more = options.read();
+            Log.event("reloaded", "discovery", next.discovery());
+            configure(more);
             discovery.moveTo(next.discovery());
-        } catch (ConfigException e) {
-            Log.info("new configuration not taken, the old one stays: " + e.getMessage());
+        } catch (ConfigException | BadFileException e) {
+            Log.event("reload_refused", "cause", e.getMessage());
         }
     }
 
@@ -182,7 +212,7 @@
 
     /** Still serves whoever comes; those that come only now for the last time. */
     void beginDrain() {
-        Log.info("draining");
+        Log.event("draining");
         loop.execute(clients::drain);
     }
 
@@ -216,9 +246,9 @@
 
     private void logTally() {
         Proxy.Tally t = proxy.tally();
-        Log.info("requests=" + t.requests + " served=" + t.served + " refused=" + t.refused + " failed=" + t.failed
-                + " gone=" + t.gone + " owed=" + proxy.owed() + " clients=" + clients.connections() + " nodes="
-                + pool.connections() + " look-ups: " + counts(t.lookUps) + " fetches: " + counts(t.fetches));
+        Log.event("tally", "requests", t.requests, "served", t.served, "refused", t.refused, "failed", t.failed,
+                "gone", t.gone, "owed", proxy.owed(), "clients", clients.connections(), "nodes", pool.connections(),
+                "look_ups", counts(t.lookUps), "fetches", counts(t.fetches));
     }
 
     private static String counts(int[] outcomes) {
@@ -231,7 +261,7 @@
         String now = proxy.state();
         if (!now.equals(state)) {
             state = now;
-            Log.info(now);
+            Log.event("control", "level", proxy.level(), "state", now);
         }
     }
 }
--- a/src/main/java/hopglade/proxy/Warmup.java
+++ b/src/main/java/hopglade/proxy/Warmup.java
@@ -91,8 +91,8 @@
         } finally {
             warmup.end();
         }
-        Log.info("warmed up with " + warmup.served + " requests: " + ms(started - begun) + " ms to set up, "
-                + ms(ending - started) + " ms at work, " + ms(System.nanoTime() - ending) + " ms to end");
+        Log.event("warmed_up", "requests", warmup.served, "set_up_ms", ms(started - begun),
+                "at_work_ms", ms(ending - started), "to_end_ms", ms(System.nanoTime() - ending));
         return warmup.served;
     }
 
--- /dev/null
+++ b/src/test/java/hopglade/HouseRulesTest.java
@@ -0,0 +1,45 @@
+package hopglade;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.lang.ArchRule;
+import org.junit.jupiter.api.Test;
+
+/** Who may use whom; a wrong import fails the build. */
+class HouseRulesTest {
+
+    private static final JavaClasses CLASSES = new ClassFileImporter().withImportOption(new ImportOption.DoNotIncludeTests())
+            .importPackages("hopglade");
+    private static final String[] CLOCKS_SOCKETS_THREADS = {"java.io..", "java.net..", "java.nio.channels..", "java.nio.file..",
+        "java.util.concurrent..", "org.slf4j..", "io.netty.."};
+
+    private static void holds(ArchRule rule) {
+        rule.check(CLASSES);
+    }
+
+    @Test
+    void decisionsUseTheJdkAlone() {
+        holds(noClasses().that().haveSimpleNameStartingWith("Decide").and().resideInAPackage("hopglade").should()
+                .dependOnClassesThat().resideInAnyPackage(CLOCKS_SOCKETS_THREADS));
+        holds(noClasses().that().haveSimpleName("Router").should().dependOnClassesThat()
+                .resideInAnyPackage("hopglade.proxy..", "hopglade.config..", "hopglade.lab..", "hopglade.cli..", "io.netty.."));
+        holds(noClasses().that().haveNameMatching("hopglade\\.(Decide|Router).*").should().callMethod(System.class, "nanoTime")
+                .orShould().callMethod(System.class, "currentTimeMillis"));
+    }
+
+    @Test
+    void serveKnowsNothingOfTools() {
+        holds(noClasses().that().resideInAnyPackage("hopglade.proxy..", "hopglade.benchlink..").should()
+                .dependOnClassesThat().resideInAnyPackage("hopglade.cli..", "hopglade.lab..", "picocli..", "com.fasterxml..",
+                        "ch.qos.logback..", "org.jfree..", "org.HdrHistogram..", "org.apache.commons.."));
+    }
+
+    @Test
+    void configurationKnowsNothingOfSocketsOrDecisions() {
+        holds(noClasses().that().resideInAPackage("hopglade.config..").should().dependOnClassesThat()
+                .resideInAnyPackage("hopglade", "hopglade.proxy..", "hopglade.lab..", "hopglade.cli..", "io.netty.."));
+    }
+}
