Add a laboratory: stand-in fleet, load, faults and a ledger that judges real proxies

A model without I/O (processor sharing, cold starts, copies, an origin that stops, late news) is served over the platform's HTTP/1.1; proxies are child processes of the run line that end with the tool, even on SIGKILL; load is open loop and drawn ahead from a seed; 24 kinds of fault; every try, attempt and word of discovery goes into a ledger that proves or disproves twelve rules; results.json, a self-contained report and bounds with exit codes. The first run found refusals without a Retry-After (a read that waited for another's fetch until its time was up, at level 0): Decide now names 100 ms there.

--- a/src/main/java/hopglade/Decide.java
+++ b/src/main/java/hopglade/Decide.java
@@ -33,6 +33,8 @@
     static final int SPAN = 6;
     /** Refill rates of levels 1 and up, as multiples of the base. */
     static final double[] LADDER = {1.25, 1.0, 0.8, 0.6, 0.45, 0.3};
+    /** Advice on when to come again where no bank sets a pace: what failed here was one request's own bad luck. */
+    static final double UNPACED_MS = 100;
     /** Tokens the bank holds: a few, so that a pause buys no burst. */
     static final double BANK = 4;
     /** What is left of the base after an interval at level 0 that did not reach it. */
@@ -617,7 +619,8 @@
             case UNSAFE -> r.proven && !r.out;
         };
         if (harmless) {
-            double wait = control.level == 0 || !settings.limits().retryAfter() ? 0 : 1000 / bank.ratePerS;
+            double pause = control.level == 0 ? UNPACED_MS : 1000 / bank.ratePerS;
+            double wait = settings.limits().retryAfter() ? pause : 0;
             out.refuse(r.in.id(), Math.min(wait, settings.limits().maxRetryAfterMs()));
         } else {
             out.fail(r.in.id());
--- a/src/main/java/hopglade/Main.java
+++ b/src/main/java/hopglade/Main.java
@@ -40,6 +40,7 @@
     }
 
     private static int tools(String[] args) {
+        Log.configure(Options.DEFAULTS.log());
         try {
             return hopglade.cli.Cli.run(args);
         } catch (NoClassDefFoundError e) {
--- a/src/main/java/hopglade/cli/LabCommands.java
+++ b/src/main/java/hopglade/cli/LabCommands.java
@@ -1,6 +1,209 @@
 package hopglade.cli;
 
+import hopglade.config.BadFileException;
+import hopglade.lab.Experiment;
+import hopglade.lab.ExperimentFile;
+import hopglade.lab.RunLine;
+import hopglade.lab.load.LoadPlan;
+import hopglade.lab.report.Comparison;
+import hopglade.lab.report.CurveReport;
+import hopglade.lab.report.HtmlReport;
+import hopglade.lab.report.Results;
+import hopglade.lab.sockets.SocketRun;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Model.CommandSpec;
 
-@Command(name = "lab", description = "The laboratory.", mixinStandardHelpOptions = true, versionProvider = Version.class)
-final class LabCommands { }
+@Command(name = "lab", description = "Plays experiments: stand-in machines, real proxies, load, faults and a ledger that judges.",
+        mixinStandardHelpOptions = true, versionProvider = Version.class, synopsisSubcommandLabel = "run|check|sweep|compare")
+final class LabCommands {
+
+    private static final int BAR = 20;
+
+    @Spec
+    private CommandSpec spec;
+
+    /** What every command that reads an experiment takes. */
+    static final class Given {
+        @Parameters(paramLabel = "FILE", description = "the experiment")
+        Path file;
+
+        @Option(names = "--seed", paramLabel = "N", description = "another seed than the file's")
+        Integer seed;
+
+        @Option(names = "--set", paramLabel = "KEY=VALUE", description = "another value for a key, as --set load.rate=400")
+        Map<String, String> set = new LinkedHashMap<>();
+
+        Experiment read(Map<String, String> more) throws BadFileException {
+            Map<String, String> all = new LinkedHashMap<>(set);
+            all.putAll(more);
+            if (seed != null) {
+                all.put("seed", String.valueOf(seed));
+            }
+            return ExperimentFile.read(file, all);
+        }
+    }
+
+    @Command(name = "check", description = "Says whether an experiment's file would be played, and what it would send.",
+            mixinStandardHelpOptions = true, versionProvider = Version.class)
+    int check(@Mixin Given given) throws BadFileException {
+        Experiment experiment = given.read(Map.of());
+        LoadPlan plan = LoadPlan.of(experiment);
+        System.out.printf("%s: good; %d requests in %s s, load %s%n", given.file, plan.firsts().size(),
+                Results.plain(experiment.durationS()), plan.digest());
+        return Cli.OK;
+    }
+
+    @Command(name = "run", description = "Plays an experiment on loopback sockets against real proxies.", mixinStandardHelpOptions = true,
+            versionProvider = Version.class, exitCodeListHeading = "%nExit codes:%n", exitCodeList = {"0:all bounds hold, no rule is broken",
+                "1:some fall short; each is named with figure and bound", "2:a bad file"})
+    int run(@Mixin Given given,
+            @Option(names = "--out", paramLabel = "DIR", description = "where results, report and logs go (default: target/lab/NAME)") Path out,
+            @Option(names = "--repeat", paramLabel = "N", defaultValue = "1", description = "plays it N times, with seeds that follow one another") int repeat)
+            throws BadFileException, IOException, InterruptedException {
+        if (repeat < 1 || repeat > 100) {
+            throw new ParameterException(spec.commandLine(), "--repeat: found " + repeat + ", allowed is 1 to 100");
+        }
+        boolean good = true;
+        long first = given.read(Map.of()).seed();
+        for (int i = 0; i < repeat; i++) {
+            Experiment experiment = given.read(repeat == 1 ? Map.of() : Map.of("seed", String.valueOf(first + i)));
+            Path directory = directory(out, experiment);
+            good &= play(experiment, repeat == 1 ? directory : directory.resolve(String.valueOf(i + 1))).good();
+        }
+        return good ? Cli.OK : Cli.FAILED;
+    }
+
+    private static Path directory(Path out, Experiment experiment) {
+        return out == null ? Path.of("target", "lab", experiment.name()) : out;
+    }
+
+    private static Results play(Experiment experiment, Path directory) throws BadFileException, IOException, InterruptedException {
+        RunLine line = RunLine.find(Path.of("."), experiment.proxies().run());
+        Files.createDirectories(directory);
+        System.out.println(experiment.name() + ": " + experiment.about());
+        boolean terminal = System.console() != null;
+        long[] shown = {Long.MIN_VALUE};
+        Results results = new SocketRun(experiment, directory, line.root(), line.run()).play(p -> {
+            long step = (long) Math.floor(terminal ? p.atS() * 4 : p.atS() / 5);
+            if (p.atS() >= 0 && step != shown[0]) {
+                shown[0] = step;
+                System.out.print((terminal ? "\r" : "") + line(p) + (terminal ? "" : System.lineSeparator()));
+                System.out.flush();
+            }
+        });
+        System.out.println();
+        results.write(directory.resolve("results.json"));
+        HtmlReport.write(results, directory.resolve("report.html"));
+        summary(results, directory);
+        return results;
+    }
+
+    private static String line(SocketRun.Progress p) {
+        int full = (int) Math.min(BAR, Math.max(0, BAR * p.atS() / p.ofS()));
+        return String.format(Locale.ROOT, "[%s%s] %5.1f s  %4.0f req/s  worth served %5.1f%%  refused %d  failed %d  level %d ",
+                "#".repeat(full), ".".repeat(BAR - full), p.atS(), p.atS() < 1 ? 0 : p.asked() / Math.min(p.ofS(), p.atS()),
+                100 * p.worthShare(), p.refused(), p.failed(), p.level());
+    }
+
+    private static void summary(Results results, Path directory) {
+        String[] figures = {"load.requests", "served.worth", "served.worst_10s_worth", "refused.share", "failed.share", "latency.p50_ms",
+            "latency.p99_ms", "cache.hit_share", "origin.load", "control.level_max", "recovery.s", "generator.late_p99_ms",
+            "proxy.cpu_ms_per_request", "proxy.resident_mb_max"};
+        for (String figure : figures) {
+            System.out.printf("  %-26s %s%n", figure, Results.plain(results.figures().getOrDefault(figure, Double.NaN)));
+        }
+        results.violations().stream().limit(10).forEach(v -> System.out.println("  broken: " + v));
+        if (results.violations().size() > 10) {
+            System.out.println("  broken: and " + (results.violations().size() - 10) + " more in results.json");
+        }
+        results.missed().forEach(m -> System.out.println("  missed: " + m));
+        System.out.println((results.good() ? "all bounds hold, no rule is broken; " : "") + "see " + directory.resolve("report.html"));
+    }
+
+    @Command(name = "sweep", description = "Plays an experiment at several values of one key and draws worth served against worth offered, "
+            + "by class, with the clients' retries and without.", mixinStandardHelpOptions = true, versionProvider = Version.class)
+    int sweep(@Mixin Given given,
+              @Option(names = "--over", required = true, paramLabel = "KEY=FROM..TO:STEPS", description = "as load.rate=200..1600:8") String over,
+              @Option(names = "--out", paramLabel = "DIR", description = "where the curve goes (default: target/lab/NAME-sweep)") Path out,
+              @Option(names = "--no-retries", description = "plays each step without the clients' retries too") boolean both)
+            throws BadFileException, IOException, InterruptedException {
+        Sweep sweep = Sweep.parse(over);
+        if (sweep == null) {
+            throw new ParameterException(spec.commandLine(), "--over: found " + over + ", allowed is KEY=FROM..TO:STEPS with 2 to 100 steps, as load.rate=200..1600:8");
+        }
+        // All of it is read before anything starts.
+        Map<String, List<Experiment>> series = new LinkedHashMap<>();
+        for (boolean retries : both ? new boolean[] {true, false} : new boolean[] {true}) {
+            List<Experiment> steps = new ArrayList<>();
+            for (double value : sweep.values()) {
+                Map<String, String> set = new LinkedHashMap<>(Map.of(sweep.key(), Results.plain(value)));
+                if (!retries) {
+                    set.put("load.retries", "0");
+                }
+                steps.add(given.read(set));
+            }
+            series.put(retries ? "with retries" : "without retries", steps);
+        }
+        String name = series.values().iterator().next().get(0).name();
+        Path directory = out == null ? Path.of("target", "lab", name + "-sweep") : out;
+        Map<String, List<Results>> played = new LinkedHashMap<>();
+        for (Map.Entry<String, List<Experiment>> entry : series.entrySet()) {
+            List<Results> results = new ArrayList<>();
+            for (int i = 0; i < entry.getValue().size(); i++) {
+                results.add(play(entry.getValue().get(i), directory.resolve(entry.getKey().replace(' ', '-') + "-" + (i + 1))));
+            }
+            played.put(entry.getKey(), results);
+        }
+        System.out.print(CurveReport.table(sweep.key(), sweep.values(), played));
+        CurveReport.write(name, sweep.key(), sweep.values(), played, directory.resolve("curve.html"));
+        System.out.println("see " + directory.resolve("curve.html"));
+        return played.values().stream().flatMap(List::stream).allMatch(r -> r.violations().isEmpty()) ? Cli.OK : Cli.FAILED;
+    }
+
+    /** The values of one key that a sweep goes through. */
+    record Sweep(String key, List<Double> values) {
+
+        static Sweep parse(String over) {
+            var parts = java.util.regex.Pattern.compile("([a-z_.]+)=([0-9.]+?)\\.\\.([0-9.]+):(\\d{1,3})").matcher(over);
+            if (!parts.matches()) {
+                return null;
+            }
+            try {
+                double from = Double.parseDouble(parts.group(2));
+                double to = Double.parseDouble(parts.group(3));
+                int steps = Integer.parseInt(parts.group(4));
+                if (steps < 2 || steps > 100) {
+                    return null;
+                }
+                List<Double> values = new ArrayList<>();
+                for (int i = 0; i < steps; i++) {
+                    values.add(from + (to - from) * i / (steps - 1));
+                }
+                return new Sweep(parts.group(1), values);
+            } catch (NumberFormatException e) {
+                return null;
+            }
+        }
+    }
+
+    @Command(name = "compare", description = "Puts two results side by side. With folders of --repeat runs, each figure has its spread.",
+            mixinStandardHelpOptions = true, versionProvider = Version.class)
+    int compare(@Parameters(paramLabel = "A", description = "results.json, or a folder of runs") Path a,
+                @Parameters(paramLabel = "B", description = "results.json, or a folder of runs") Path b) throws BadFileException, IOException {
+        System.out.print(Comparison.table(Comparison.read(a), Comparison.read(b)));
+        return Cli.OK;
+    }
+}
--- a/src/main/java/hopglade/config/Toml.java
+++ b/src/main/java/hopglade/config/Toml.java
@@ -107,6 +107,9 @@
             return "--set";
         }
         Integer line = lines.get(path);
+        // What is missing has no line of its own, but its table has one.
+        int dot = path.lastIndexOf('.');
+        line = line == null && dot > 0 ? lines.get(path.substring(0, dot)) : line;
         return line == null ? file : file + ":" + line;
     }
 
@@ -203,7 +206,7 @@
                 }
             }
             List<String> words = Arrays.stream(type.getEnumConstants()).map(Toml::word).toList();
-            throw bad(key, value == null ? "nothing" : '"' + found + '"', "one of " + String.join(", ", words) + nearest(found, words));
+            throw bad(key, value == null ? "nothing" : shown(value), "one of " + String.join(", ", words) + nearest(found, words));
         }
 
         /** A list of texts. */
--- a/src/main/java/hopglade/lab/ExperimentFile.java
+++ b/src/main/java/hopglade/lab/ExperimentFile.java
@@ -88,9 +88,9 @@
         Experiment.Fleet fleet = new Experiment.Fleet(t.whole("nodes", 9, 1, 2000), zones,
                 t.range("link_ms", new double[] {5.6, 10}, 0, 1000), t.number("local_ms", 0.2, 0, 100), List.copyOf(kinds),
                 t.number("miss_work_ms", 0.5, 0, 1000), t.number("handshake_ms", 0.5, 0, 1000),
-                t.whole("connections", 400, 1, 100_000), t.number("error_share", 0.001, 0, 1), t.number("ttl_s", 60, 0.1, DAY_S),
-                t.whole("keys", 20_000, 1, 10_000_000), t.range("bytes", new double[] {300, 6000}, 50, 60_000),
-                t.number("kept", 0.6, 0.001, 100));
+                t.whole("connections", 400, 1, 100_000), t.number("error_share", 0.001, 0, 1), t.number("ttl_s", 120, 0.1, DAY_S),
+                t.whole("keys", 4000, 1, 10_000_000), t.range("bytes", new double[] {300, 6000}, 50, 60_000),
+                t.number("kept", 1.2, 0.001, 100));
         t.done();
         return fleet;
     }
--- a/src/main/java/hopglade/lab/ledger/Ledger.java
+++ b/src/main/java/hopglade/lab/ledger/Ledger.java
@@ -79,6 +79,7 @@
         public final String id;
         public final int first;
         public final int type;
+        public final long key;
         public final int proxy;
         public final double sentAt;
         public final double budgetMs;
@@ -91,10 +92,11 @@
         /** The proxy began an answer that it could not finish. */
         public boolean begun;
 
-        Try(String id, int first, int type, int proxy, double sentAt, double budgetMs) {
+        Try(String id, int first, int type, long key, int proxy, double sentAt, double budgetMs) {
             this.id = id;
             this.first = first;
             this.type = type;
+            this.key = key;
             this.proxy = proxy;
             this.sentAt = sentAt;
             this.budgetMs = budgetMs;
@@ -134,8 +136,8 @@
     private final List<OriginStop> stops = Collections.synchronizedList(new ArrayList<>());
 
     /** A client's try is about to go out; its time runs from its last byte. */
-    public Try sent(String id, int first, int type, int proxy, double at, double budgetMs) {
-        Try t = new Try(id, first, type, proxy, at, budgetMs);
+    public Try sent(String id, int first, int type, long key, int proxy, double at, double budgetMs) {
+        Try t = new Try(id, first, type, key, proxy, at, budgetMs);
         tries.put(id, t);
         return t;
     }
--- a/src/main/java/hopglade/lab/ledger/Rules.java
+++ b/src/main/java/hopglade/lab/ledger/Rules.java
@@ -12,8 +12,10 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 
 /** The rules that a fleet of proxies owes, each proved or disproved from a ledger. */
 public final class Rules {
@@ -37,7 +39,13 @@
         /** A refusal says when to come again, and comes at once. */
         REFUSAL,
         /** Every attempt carries an id that a client sent. */
-        KNOWN_ID
+        KNOWN_ID,
+        /** A peer that sends no proper request has an error or a close in time, and is never served. */
+        BAD_INPUT,
+        /** No proxy ends that was not told to. */
+        CRASH,
+        /** The load was sent when it was planned: a late generator measures itself. */
+        GENERATOR
     }
 
     /** A broken rule with what proves it. */
@@ -64,11 +72,19 @@
     private final Experiment experiment;
     private final double fallMs;
     private final List<Violation> found = new ArrayList<>();
+    /** Fetches of each key by each proxy: a read may wait for one that another read has begun. */
+    private final Map<String, List<Attempt>> fetches = new HashMap<>();
 
     private Rules(Ledger ledger, Experiment experiment) {
         this.ledger = ledger;
         this.experiment = experiment;
         this.fallMs = experiment.origin().fallS() * 1000;
+        for (Attempt a : ledger.attempts()) {
+            Try t = ledger.find(a.call);
+            if (a.origin && t != null) {
+                fetches.computeIfAbsent(a.proxy + " " + t.key, k -> new ArrayList<>()).add(a);
+            }
+        }
     }
 
     /** Every violation in the ledger, in the order of time. */
@@ -135,6 +151,10 @@
         for (Attempt a : attempts) {
             idleSince = Math.max(idleSince, Math.min(Math.min(a.answeredAt, a.closedAt), reply.at()));
         }
+        for (Attempt a : fetches.getOrDefault(t.proxy + " " + t.key, List.of())) {
+            boolean meanwhile = a.firstByteAt <= reply.at() && Math.min(a.answeredAt, a.closedAt) >= t.sentAt;
+            idleSince = meanwhile ? Math.max(idleSince, Math.min(Math.min(a.answeredAt, a.closedAt), reply.at())) : idleSince;
+        }
         double share = experiment.rules().refusalIdleShare();
         if (!excused && reply.at() - idleSince > share * t.budgetMs + experiment.rules().slackMs()) {
             broken(Rule.REFUSAL, t.id, reply.at(), "held back: nothing was out for it since " + ms(idleSince));
--- /dev/null
+++ b/src/main/java/hopglade/lab/report/Comparison.java
@@ -0,0 +1,67 @@
+package hopglade.lab.report;
+
+import hopglade.config.BadFileException;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Stream;
+import org.apache.commons.math3.stat.descriptive.SummaryStatistics;
+
+/** Two sets of runs side by side: each figure's mean, its standard deviation from run to run, and the difference. */
+public final class Comparison {
+
+    /** A difference of means counts as told apart from noise beyond so many standard errors. */
+    private static final double APART = 2;
+
+    private Comparison() { }
+
+    /** The results in a file, or in a folder and the folders right below it. */
+    public static List<Results> read(Path from) throws BadFileException, IOException {
+        if (!Files.isDirectory(from)) {
+            return List.of(Results.read(from));
+        }
+        List<Results> all = new ArrayList<>();
+        try (Stream<Path> files = Files.walk(from, 2)) {
+            for (Path file : files.filter(f -> f.endsWith("results.json")).sorted().toList()) {
+                all.add(Results.read(file));
+            }
+        }
+        if (all.isEmpty()) {
+            throw new BadFileException(from + ": no results.json in it");
+        }
+        return all;
+    }
+
+    public static String table(List<Results> a, List<Results> b) {
+        Set<String> names = new TreeSet<>();
+        a.forEach(r -> names.addAll(r.figures().keySet()));
+        b.forEach(r -> names.addAll(r.figures().keySet()));
+        StringBuilder table = new StringBuilder(String.format("%-34s %22s %22s %12s%n", "figure (" + a.size() + " and " + b.size() + " runs)",
+                "A mean ± sd", "B mean ± sd", "B - A"));
+        for (String name : names) {
+            SummaryStatistics left = statistics(a, name);
+            SummaryStatistics right = statistics(b, name);
+            double difference = right.getMean() - left.getMean();
+            boolean known = a.size() > 1 && b.size() > 1;
+            double error = Math.sqrt(left.getVariance() / a.size() + right.getVariance() / b.size());
+            table.append(String.format(Locale.ROOT, "%-34s %22s %22s %12s%s%n", name, shown(left), shown(right), Results.plain(difference),
+                    known && Math.abs(difference) > APART * error && difference != 0 ? " *" : ""));
+        }
+        return table.append(a.size() > 1 && b.size() > 1 ? "* beyond " + Results.plain(APART) + " standard errors\n" : "").toString();
+    }
+
+    private static String shown(SummaryStatistics s) {
+        return s.getN() == 0 ? "-" : Results.plain(s.getMean()) + (s.getN() > 1 ? " ± " + Results.plain(s.getStandardDeviation()) : "");
+    }
+
+    private static SummaryStatistics statistics(List<Results> runs, String name) {
+        SummaryStatistics statistics = new SummaryStatistics();
+        runs.stream().map(r -> r.figures().get(name)).filter(v -> v != null && !v.isNaN()).forEach(statistics::addValue);
+        return statistics;
+    }
+}
--- a/src/main/java/hopglade/lab/sockets/Machines.java
+++ b/src/main/java/hopglade/lab/sockets/Machines.java
@@ -291,6 +291,10 @@
             }
             open = null;
             byte[] body = body(a, answer);
+            if (answer.manner() != World.Manner.WHOLE && answer.manner() != World.Manner.NEVER) {
+                // It is we who end the connection.
+                a.closedAt = clock.now();
+            }
             switch (answer.manner()) {
                 case WHOLE -> {
                     FullHttpResponse whole = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
--- /dev/null
+++ b/src/main/java/hopglade/lab/sockets/Oracle.java
@@ -0,0 +1,80 @@
+package hopglade.lab.sockets;
+
+import hopglade.Router;
+import hopglade.Router.Availability;
+import hopglade.Router.ListKind;
+import hopglade.lab.world.Installation;
+import hopglade.lab.world.World;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** Asks a router of its own, to which nothing else ever happens, at which cache nodes a key is looked for. */
+final class Oracle implements Router.Actions {
+
+    /** Far enough apart that no meter of the router's sees a load. */
+    private static final double STEP_MS = 50;
+
+    private final Router router;
+    private final String origin;
+    private double now = 1;
+    private long asked;
+    private String sentTo;
+
+    Oracle(Router router, List<World.Entry> list, Installation plan) {
+        this.router = router;
+        this.origin = plan.origin().id();
+        router.started(now, this);
+        router.nodes(now, ListKind.FULL, 1, list.stream().map(e -> new Router.Node(e.id(), e.kind(), plan.zones().get(e.zone()), 0,
+                e.weight(), 0, Availability.UP)).toList(), this);
+    }
+
+    /** The nodes that a read of this key is sent to when the first has missed. */
+    List<String> homes(long key, String service) {
+        now += STEP_MS;
+        String id = "o" + asked++;
+        List<String> homes = new ArrayList<>();
+        sentTo = null;
+        router.request(now, new Router.Request(id, service, null, key, 0, 1000, false, false), this);
+        for (int attempt = 0; sentTo != null && !sentTo.equals(origin) && attempt < 2; attempt++) {
+            String node = sentTo;
+            homes.add(node);
+            sentTo = null;
+            router.attemptEnded(now, new Router.AttemptEnd(id, attempt, node, Router.Outcome.MISS, 1, false, 2, Map.of()), this);
+        }
+        router.clientGone(now, id, this);
+        if (sentTo != null) {
+            router.attemptEnded(now, new Router.AttemptEnd(id, homes.size(), sentTo, Router.Outcome.CANCELLED, 1, true, 0, Map.of()), this);
+        }
+        return homes;
+    }
+
+    @Override
+    public void send(String request, String node, double timeoutMs) {
+        sentTo = node;
+    }
+
+    @Override
+    public void cancel(String request, int attempt) { }
+
+    @Override
+    public void refuse(String request, double retryAfterMs) { }
+
+    @Override
+    public void fail(String request) { }
+
+    @Override
+    public void timer(double atMs, String token) { }
+
+    @Override
+    public void subscribe() { }
+
+    @Override
+    public void probe(String node) { }
+
+    @Override
+    public void tell(byte[] contents) { }
+
+    @Override
+    public void close(String node) { }
+}
--- a/src/main/java/hopglade/lab/sockets/RunClock.java
+++ b/src/main/java/hopglade/lab/sockets/RunClock.java
@@ -5,11 +5,18 @@
 
     private static final double NANOS_PER_MS = 1e6;
 
-    private volatile long originNanos = System.nanoTime();
-    private volatile double originUnixMs = System.currentTimeMillis();
+    /** Until it begins, the run is far ahead. */
+    private static final double NOT_BEGUN_MS = 3_600_000;
+
+    private volatile long originNanos;
+    private volatile double originUnixMs;
+
+    RunClock() {
+        beginIn(NOT_BEGUN_MS);
+    }
 
     /** Begins the run so many milliseconds from now. */
-    void beginIn(double ms) {
+    final void beginIn(double ms) {
         originUnixMs = System.currentTimeMillis() + ms;
         originNanos = System.nanoTime() + (long) (ms * NANOS_PER_MS);
     }
--- /dev/null
+++ b/src/main/java/hopglade/lab/sockets/SocketRun.java
@@ -0,0 +1,608 @@
+package hopglade.lab.sockets;
+
+import com.google.gson.Gson;
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import hopglade.Decide;
+import hopglade.Router;
+import hopglade.benchlink.SettingsReader;
+import hopglade.lab.Draw;
+import hopglade.lab.Experiment;
+import hopglade.lab.faults.Fault;
+import hopglade.lab.ledger.Ledger;
+import hopglade.lab.ledger.Rules;
+import hopglade.lab.ledger.Rules.Rule;
+import hopglade.lab.ledger.Rules.Violation;
+import hopglade.lab.load.LoadPlan;
+import hopglade.lab.load.Story;
+import hopglade.lab.report.Figures;
+import hopglade.lab.report.Results;
+import hopglade.lab.report.Results.Mark;
+import hopglade.lab.world.Installation;
+import hopglade.lab.world.World;
+import hopglade.lab.world.World.Answer;
+import hopglade.lab.world.World.Entry;
+import hopglade.proxy.PathKey;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+
+/** One experiment on sockets: starts everything, plays load and faults, ends everything, and counts. */
+public final class SocketRun {
+
+    /** How a run is going; told a few times a second. */
+    public record Progress(double atS, double ofS, int asked, int served, int refused, int failed, double worthShare, int level) { }
+
+    private static final AtomicInteger RUNS = new AtomicInteger();
+    private static final double IDLE_MS = 10_000;
+    private static final double BEGIN_MS = 300;
+    private static final long READY_MS = 30_000;
+    private static final long LOOK_MS = 100;
+    private static final int TICK_MS = 1;
+    private static final double MS_PER_S = 1000;
+    /** Room after the last deadline in which late answers still show. */
+    private static final double SETTLE_MS = 500;
+    /** What SIGTERM leaves before SIGKILL, beyond the longest deadline. */
+    private static final double KILL_MS = 700;
+    private static final double LONGEST_MS = 3000;
+    /** Clients that are on their way still come for so long after SIGTERM. */
+    private static final double FRONT_MS = 300;
+    private static final double HOSTILE_MS = 3000;
+    private static final int FILL_KEYS = 200_000;
+    private static final int MOST_VIOLATIONS = 100;
+
+    private final Experiment experiment;
+    private final Path directory;
+    private final Path root;
+    private final String run;
+    private final RunClock clock = new RunClock();
+    private final Ledger ledger = new Ledger();
+    private final Installation plan;
+    private final LoadPlan load;
+    private final World world;
+    private final MultiThreadIoEventLoopGroup worldGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup clientGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final ScheduledExecutorService hands = Executors.newScheduledThreadPool(8);
+    private final EventLoop loop = worldGroup.next();
+    private final List<ProxyProcess> proxies = new ArrayList<>();
+    private final List<DiscoveryServer> discoveries = new ArrayList<>();
+    private final List<Mark> marks = Collections.synchronizedList(new ArrayList<>());
+    private final List<Violation> seen = Collections.synchronizedList(new ArrayList<>());
+    private final Map<String, Double> outside = new HashMap<>();
+    private final int[] levels;
+    private Machines machines;
+    private Clients clients;
+    private HostilePeers hostile;
+    private final World.Effects effects = new Acts();
+
+    /** {@code directory} takes the proxies' logs and configurations; {@code run} starts one from {@code root}. */
+    public SocketRun(Experiment experiment, Path directory, Path root, String run) {
+        this.experiment = experiment;
+        this.directory = directory.toAbsolutePath();
+        this.root = root;
+        this.run = run;
+        this.plan = Draw.installation(experiment);
+        this.load = LoadPlan.of(experiment);
+        this.levels = new int[(int) Math.ceil(experiment.durationS())];
+        this.world = new World(plan, new World.Limits(experiment.rules().coldMultiple(), experiment.rules().coldWindowMs()),
+                Draw.generator(experiment.seed(), Draw.Stream.WORLD));
+    }
+
+    private final class Acts implements World.Effects {
+        @Override
+        public void answer(long attempt, Answer answer) {
+            machines.answer(attempt, answer);
+        }
+
+        @Override
+        public void list(int proxy, long version, List<Entry> entries) {
+            discoveries.get(proxy).news(version, entries);
+        }
+
+        @Override
+        public void died(String machine) {
+            machines.died(machine);
+            ledger.changed(machine, World.Health.REMOVED, -1, clock.now());
+        }
+
+        @Override
+        public void up(String machine) {
+            machines.up(machine);
+            ledger.changed(machine, World.Health.UP, clock.now(), clock.now());
+        }
+
+        @Override
+        public void note(String text) {
+            mark(text);
+            if (text.startsWith("the origin")) {
+                ledger.originStopped(clock.now());
+            }
+        }
+    }
+
+    private void mark(String what) {
+        marks.add(new Mark(Math.round(clock.now()) / MS_PER_S, what));
+    }
+
+    /** Plays it and returns what came of it; nothing that it started is left, however it ends. */
+    public Results play(Consumer<Progress> progress) throws IOException, InterruptedException {
+        Files.createDirectories(directory);
+        Thread undo = new Thread(this::endAll, "lab-end");
+        Runtime.getRuntime().addShutdownHook(undo);
+        try {
+            open();
+            startAll();
+            begin();
+            watch(progress);
+            return results();
+        } finally {
+            endAll();
+            try {
+                Runtime.getRuntime().removeShutdownHook(undo);
+            } catch (IllegalStateException e) {
+                // The Java machine is ending: the hook has done this already.
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+
+    private void endAll() {
+        hands.shutdownNow();
+        proxies.forEach(ProxyProcess::end);
+        worldGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(2, TimeUnit.SECONDS);
+        clientGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(2, TimeUnit.SECONDS);
+    }
+
+    private void open() throws IOException, InterruptedException {
+        boolean[] writes = new boolean[experiment.load().classes().size()];
+        for (int i = 0; i < writes.length; i++) {
+            writes[i] = experiment.load().classes().get(i).write();
+        }
+        // Addresses that are this process's own, so that no other run's port can be ours.
+        long pid = ProcessHandle.current().pid();
+        List<InetSocketAddress> addresses = new ArrayList<>();
+        for (int i = 0; i < experiment.proxies().count(); i++) {
+            InetAddress at = InetAddress.getByAddress(new byte[] {127, (byte) (64 + pid % 64), (byte) RUNS.incrementAndGet(), (byte) (10 + i)});
+            proxies.add(new ProxyProcess("proxy-" + i, at, directory, root, run));
+            addresses.add(proxies.get(i).address);
+        }
+        clients = new Clients(clientGroup.next(), clock, experiment, load, ledger, addresses, plan.proxyZones());
+        machines = new Machines(loop, clock, plan, world, effects, ledger, clients, writes, IDLE_MS,
+                Draw.generator(experiment.seed(), Draw.Stream.CLIENTS));
+        machines.open();
+        for (int i = 0; i < proxies.size(); i++) {
+            discoveries.add(new DiscoveryServer(loop, clock, plan, i, machines, ledger, world));
+            discoveries.get(i).open();
+        }
+        hostile = new HostilePeers(clientGroup.next(), clock, addresses, Draw.generator(experiment.seed(), Draw.Stream.HOSTILE));
+        fill();
+    }
+
+    /**
+     * Machines that run when the day begins hold what they were asked for lately: a router of its own is asked where each
+     * key lives, the popular ones last, so that they are the freshest.
+     */
+    private void fill() {
+        Router.Settings settings = SettingsReader.read(settings(0));
+        Oracle oracle = new Oracle(new Decide(settings, experiment.seed()), world.truth(), plan);
+        var random = Draw.generator(experiment.seed(), Draw.Stream.STORES);
+        for (long key = Math.min(FILL_KEYS, plan.storing().keys()) - 1; key >= 0; key--) {
+            for (String node : oracle.homes(PathKey.of(Clients.path(key)), experiment.load().classes().get(0).name())) {
+                world.keep(node, key, random.nextDouble() * plan.storing().ttlMs());
+            }
+        }
+    }
+
+    private void startAll() throws IOException, InterruptedException {
+        long begun = System.nanoTime();
+        for (int i = 0; i < proxies.size(); i++) {
+            proxies.get(i).configure(config(i));
+            proxies.get(i).start(discoveries.get(i).dial());
+        }
+        double slowest = 0;
+        for (int i = 0; i < proxies.size(); i++) {
+            if (!proxies.get(i).awaitReady(READY_MS)) {
+                throw new IOException("proxy-" + i + " is not ready after " + READY_MS / MS_PER_S + " s; see "
+                        + directory.resolve(proxies.get(i).name + ".log"));
+            }
+            slowest = Math.max(slowest, (System.nanoTime() - begun) / 1e6);
+            clients.inService(i, true);
+        }
+        outside.put("proxy.ready_ms_max", slowest);
+    }
+
+    private void begin() {
+        clock.beginIn(BEGIN_MS);
+        loop.scheduleAtFixedRate(() -> {
+            if (clock.now() >= 0) {
+                world.advance(clock.now(), effects);
+            }
+        }, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+        for (Fault fault : experiment.faults()) {
+            if (!fault.what().ofLoad()) {
+                hands.schedule(() -> guarded(fault), clock.nanosUntil(fault.atMs()), TimeUnit.NANOSECONDS);
+            }
+        }
+        clients.start();
+    }
+
+    private void guarded(Fault fault) {
+        try {
+            mark(label(fault));
+            new FaultHand(fault).play();
+        } catch (IOException | ExecutionException e) {
+            mark("fault failed: " + e);
+            seen.add(new Violation(Rule.CRASH, label(fault), clock.now(), "the laboratory could not cause it: " + e));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static String label(Fault fault) {
+        return fault.what().name().toLowerCase(Locale.ROOT).replace('_', '-') + (fault.target().isEmpty() ? "" : " " + fault.target());
+    }
+
+    /** Carries one fault out, begin and end. */
+    private final class FaultHand {
+        private final Fault fault;
+
+        FaultHand(Fault fault) {
+            this.fault = fault;
+        }
+
+        void play() throws IOException, InterruptedException, ExecutionException {
+            switch (fault.what()) {
+                case NODE_KILL -> nodes(id -> world.kill(clock.now(), id, effects));
+                case NODE_RESTART -> between(id -> world.kill(clock.now(), id, effects), this::startCold);
+                case NODE_DRAIN -> between(id -> {
+                    world.drain(clock.now(), id, effects);
+                    ledger.changed(id, World.Health.DRAINING, -1, clock.now());
+                }, id -> world.kill(clock.now(), id, effects));
+                case NODE_SILENT -> between(id -> {
+                    world.stall(clock.now(), id, fault.endMs(), effects);
+                    machines.silence(id, true);
+                }, id -> machines.silence(id, false));
+                case NODE_SLOW -> between(id -> world.slow(clock.now(), id, fault.factor(), effects), id -> world.slow(clock.now(), id, 1, effects));
+                case NODE_ERRORS -> between(id -> world.err(id, fault.share()), id -> world.err(id, 0));
+                case RESET_BEFORE -> between(id -> machines.resets(id, fault.share()), id -> machines.resets(id, 0));
+                case RESET_AFTER -> between(id -> world.spoil(id, 0, 0, fault.share()), id -> world.spoil(id, 0, 0, 0));
+                case HALF_ANSWER -> between(id -> world.spoil(id, fault.share(), 0, 0), id -> world.spoil(id, 0, 0, 0));
+                case SPOILT_ANSWER -> between(id -> world.spoil(id, 0, fault.share(), 0), id -> world.spoil(id, 0, 0, 0));
+                case ORIGIN_STALL -> onLoop(() -> world.stall(clock.now(), plan.origin().id(), fault.endMs(), effects));
+                case ORIGIN_SLOW -> {
+                    onLoop(() -> world.slow(clock.now(), plan.origin().id(), fault.factor(), effects));
+                    atEnd(() -> world.slow(clock.now(), plan.origin().id(), 1, effects));
+                }
+                case ZONE_CUT -> {
+                    int zone = plan.zones().indexOf(fault.target());
+                    onLoop(() -> machines.cut(zone, true));
+                    atEnd(() -> machines.cut(zone, false));
+                }
+                case DISCOVERY_SILENT -> {
+                    onLoop(() -> agents(i -> {
+                        world.holdNews(i, fault.endMs());
+                        discoveries.get(i).silent(true);
+                    }));
+                    atEnd(() -> agents(i -> discoveries.get(i).silent(false)));
+                }
+                case DISCOVERY_STALE -> {
+                    onLoop(() -> world.delayNews(fault.factor() * MS_PER_S));
+                    atEnd(() -> world.delayNews(0));
+                }
+                case MASS_VOIDING -> onLoop(() -> world.voidCopies(fault.share()));
+                case HOSTILE -> hostile.come(fault.factor(), fault.endMs());
+                case PROXY_TERM -> eachProxy(this::term);
+                case PROXY_KILL -> eachProxy(this::kill);
+                case PROXY_HUP -> eachProxy(this::hup);
+                case PROXY_STOP -> eachProxy(this::stop);
+                case HOT_KEY, HEAVY, BURST -> throw new IllegalStateException(fault.what() + " belongs to the load");
+                default -> throw new IllegalStateException("no such fault: " + fault.what());
+            }
+        }
+
+        private void onLoop(Runnable act) {
+            loop.execute(act);
+        }
+
+        private void atEnd(Runnable act) {
+            loop.schedule(() -> {
+                mark("end of " + label(fault));
+                act.run();
+            }, clock.nanosUntil(fault.endMs()), TimeUnit.NANOSECONDS);
+        }
+
+        private List<String> targets() {
+            return fault.target().equals("*") ? plan.nodes().stream().map(Installation.NodeMake::id).toList() : List.of(fault.target());
+        }
+
+        private void nodes(Consumer<String> act) {
+            onLoop(() -> targets().forEach(act));
+        }
+
+        private void between(Consumer<String> begin, Consumer<String> end) {
+            nodes(begin);
+            atEnd(() -> targets().forEach(end));
+        }
+
+        private void startCold(String id) {
+            double now = clock.now();
+            world.start(now, id, effects);
+            plan.nodes().stream().filter(n -> n.id().equals(id)).forEach(n -> ledger.started(new Ledger.Started(id, now,
+                    n.machine().coldMs(), world.capacity(id, now), n.machine().cores() * n.machine().speed())));
+        }
+
+        private void agents(Consumer<Integer> act) {
+            for (int i = 0; i < discoveries.size(); i++) {
+                if (fault.target().equals("*") || fault.target().equals("proxy-" + i)) {
+                    act.accept(i);
+                }
+            }
+        }
+
+        private void eachProxy(Consumer<Integer> act) {
+            agents(i -> hands.execute(() -> act.accept(i)));
+        }
+
+        private void term(int i) {
+            attempt(() -> {
+                proxies.get(i).signal("TERM");
+                hands.schedule(() -> clients.inService(i, false), (long) FRONT_MS, TimeUnit.MILLISECONDS);
+                double longest = experiment.load().classes().stream().mapToDouble(Experiment.Class::deadlineMs).max().orElse(0);
+                if (!proxies.get(i).awaitExit((long) (KILL_MS + Math.min(LONGEST_MS, longest) + SETTLE_MS))) {
+                    seen.add(new Violation(Rule.CRASH, "proxy-" + i, clock.now(), "it had not ended when SIGKILL was due"));
+                    proxies.get(i).signal("KILL");
+                    ledger.excuse(new Ledger.Excuse(i, clock.now(), clock.now(), "SIGKILL"));
+                }
+                proxies.get(i).end();
+                clients.inService(i, false);
+                startAgain(i);
+                return null;
+            });
+        }
+
+        private void kill(int i) {
+            attempt(() -> {
+                ledger.excuse(new Ledger.Excuse(i, clock.now(), clock.now() + experiment.proxies().noticeS() * MS_PER_S, "SIGKILL"));
+                proxies.get(i).signal("KILL");
+                hands.schedule(() -> clients.inService(i, false), (long) (experiment.proxies().noticeS() * MS_PER_S), TimeUnit.MILLISECONDS);
+                proxies.get(i).awaitExit(READY_MS);
+                startAgain(i);
+                return null;
+            });
+        }
+
+        private void startAgain(int i) throws IOException, InterruptedException, ExecutionException {
+            Thread.sleep(TimeUnit.NANOSECONDS.toMillis(clock.nanosUntil(clock.now() + fault.forS() * MS_PER_S)));
+            proxies.get(i).configure(loop.submit((Callable<JsonObject>) () -> config(i)).get());
+            proxies.get(i).start(discoveries.get(i).dial());
+            double begun = clock.now();
+            if (proxies.get(i).awaitReady(READY_MS)) {
+                clients.inService(i, true);
+                mark("proxy-" + i + " is ready again after " + Math.round(clock.now() - begun) + " ms");
+                synchronized (outside) {
+                    outside.merge("proxy.ready_again_ms_max", clock.now() - begun, Math::max);
+                }
+            } else {
+                seen.add(new Violation(Rule.CRASH, "proxy-" + i, clock.now(), "it did not come back"));
+            }
+        }
+
+        private void hup(int i) {
+            attempt(() -> {
+                String dial = discoveries.get(i).move();
+                JsonObject config = loop.submit((Callable<JsonObject>) () -> config(i)).get();
+                config.addProperty("discovery", dial);
+                proxies.get(i).configure(config);
+                proxies.get(i).signal("HUP");
+                return null;
+            });
+        }
+
+        private void stop(int i) {
+            attempt(() -> {
+                double until = clock.now() + fault.forS() * MS_PER_S;
+                ledger.excuse(new Ledger.Excuse(i, clock.now(), until + SETTLE_MS, "SIGSTOP"));
+                proxies.get(i).signal("STOP");
+                Thread.sleep(TimeUnit.NANOSECONDS.toMillis(clock.nanosUntil(until)));
+                proxies.get(i).signal("CONT");
+                return null;
+            });
+        }
+
+        private void attempt(Callable<Void> act) {
+            try {
+                act.call();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            } catch (Exception e) {
+                seen.add(new Violation(Rule.CRASH, label(fault), clock.now(), "the laboratory could not cause it: " + e));
+            }
+        }
+    }
+
+    /** Looks on until everything asked has ended, or should have long ago. */
+    private void watch(Consumer<Progress> progress) throws InterruptedException {
+        double longest = experiment.load().classes().stream().mapToDouble(Experiment.Class::deadlineMs).max().orElse(0);
+        double faultsEnd = experiment.faults().stream().mapToDouble(Fault::endMs).max().orElse(0);
+        double last = Math.max(experiment.durationS() * MS_PER_S + longest + SETTLE_MS + 2 * experiment.rules().slackMs(),
+                experiment.faults().stream().anyMatch(f -> f.what() == Fault.Kind.HOSTILE) ? faultsEnd + HOSTILE_MS + SETTLE_MS : 0);
+        double[] cpu = new double[proxies.size()];
+        double[] cpuBefore = new double[proxies.size()];
+        double resident = 0;
+        int descriptors = 0;
+        while (clock.now() < last) {
+            int level = 0;
+            for (int i = 0; i < proxies.size(); i++) {
+                ProxyProcess proxy = proxies.get(i);
+                level = Math.max(level, proxy.level());
+                ProxyProcess.Usage usage = proxy.usage();
+                if (usage != null) {
+                    // What a start costs is none of the requests'; a new life counts from nothing.
+                    cpu[i] += clock.now() < 0 ? 0 : Math.max(0, usage.cpuS() - (usage.cpuS() >= cpuBefore[i] ? cpuBefore[i] : 0));
+                    cpuBefore[i] = usage.cpuS();
+                    resident = Math.max(resident, usage.residentMb());
+                    descriptors = Math.max(descriptors, usage.descriptors());
+                }
+                if (proxy.crashed() != null) {
+                    seen.add(new Violation(Rule.CRASH, proxy.name, clock.now(), "exit code " + proxy.crashed() + " though nobody had told it to end"));
+                    return;
+                }
+            }
+            int second = (int) (clock.now() / MS_PER_S);
+            if (second >= 0 && second < levels.length && clock.now() >= 0) {
+                levels[second] = Math.max(levels[second], level);
+            }
+            progress.accept(now(level));
+            Thread.sleep(LOOK_MS);
+        }
+        outside.put("proxy.cpu_s", java.util.Arrays.stream(cpu).sum());
+        outside.put("proxy.resident_mb_max", resident);
+        outside.put("proxy.descriptors_max", (double) descriptors);
+    }
+
+    private Progress now(int level) {
+        int[] counts = new int[4];
+        double[] worth = new double[2];
+        for (Story s : clients.told()) {
+            if (s.endedAt() < Double.POSITIVE_INFINITY) {
+                counts[s.served() ? 1 : s.refused() ? 2 : 3]++;
+                double mine = experiment.load().classes().get(s.first().type()).worth() * s.first().workMs();
+                worth[0] += mine;
+                worth[1] += s.served() ? mine : 0;
+            }
+            counts[0]++;
+        }
+        return new Progress(clock.now() / MS_PER_S, experiment.durationS(), counts[0], counts[1], counts[2], counts[3],
+                worth[0] == 0 ? 1 : worth[1] / worth[0], level);
+    }
+
+    private Results results() {
+        endAll();
+        List<Story> stories = clients.told();
+        List<Violation> violations = new ArrayList<>(Rules.check(ledger, experiment));
+        violations.addAll(seen);
+        hostileVerdict(violations);
+        List<Results.Window> timeline = Figures.windows(experiment, stories, levels);
+        Map<String, Double> figures = Figures.of(experiment, plan, stories, ledger, violations, timeline);
+        double late = figures.get("generator.late_p99_ms");
+        if (late > experiment.load().latenessMs()) {
+            violations.add(new Violation(Rule.GENERATOR, "load", 0, "p99 of its lateness is " + Results.plain(late) + " ms, the bound is "
+                    + Results.plain(experiment.load().latenessMs())));
+            figures.merge("violations.generator", 1.0, Double::sum);
+            figures.merge("violations.all", 1.0, Double::sum);
+        }
+        figures.putAll(outside);
+        figures.put("proxy.cpu_ms_per_request", 1000 * outside.getOrDefault("proxy.cpu_s", 0.0) / Math.max(1, stories.size()));
+        figures.put("machines.connections_opened", (double) machines.connections());
+        marks.sort(java.util.Comparator.comparingDouble(Mark::atS));
+        return new Results(Results.FORM, experiment.name(), experiment.about(), "sockets", experiment.seed(), load.digest(), figures, timeline,
+                List.copyOf(marks), violations.stream().limit(MOST_VIOLATIONS).map(Violation::toString).toList(),
+                Results.missed(figures, experiment.expects()));
+    }
+
+    private void hostileVerdict(List<Violation> violations) {
+        List<HostilePeers.Peer> peers = hostile.peers();
+        int dealt = 0;
+        for (HostilePeers.Peer p : peers) {
+            boolean inTime = p.endedAt - p.at <= HOSTILE_MS + experiment.rules().slackMs();
+            dealt += inTime && p.status != 200 ? 1 : 0;
+            if (p.status >= 200 && p.status < 400) {
+                violations.add(new Violation(Rule.BAD_INPUT, p.kind.name().toLowerCase(Locale.ROOT), p.at, "served with " + p.status));
+            } else if (!inTime) {
+                violations.add(new Violation(Rule.BAD_INPUT, p.kind.name().toLowerCase(Locale.ROOT), p.at, "proxy-" + p.proxy + " gave it neither an error nor a close in 3 s"));
+            }
+        }
+        outside.put("hostile.peers", (double) peers.size());
+        outside.put("hostile.dealt_share", peers.isEmpty() ? 1.0 : (double) dealt / peers.size());
+    }
+
+    // What a proxy is told.
+
+    private JsonObject config(int proxy) {
+        JsonObject o = new JsonObject();
+        o.addProperty("name", "proxy-" + proxy);
+        o.addProperty("listen", proxies.get(proxy).address.getAddress().getHostAddress() + ":" + proxies.get(proxy).address.getPort());
+        o.addProperty("discovery", discoveries.get(proxy).dial());
+        o.addProperty("seed", Long.toHexString(experiment.seed() * 31 + proxy * 7919L + proxies.get(proxy).lives()));
+        JsonObject limits = new JsonObject();
+        limits.addProperty("cores", 1.0);
+        limits.addProperty("memory_mb", experiment.proxies().memoryMb());
+        limits.addProperty("sockets", experiment.proxies().sockets());
+        o.add("limits", limits);
+        JsonObject known = discoveries.get(proxy).whole();
+        if (proxies.get(proxy).lives() == 0) {
+            // A first life: the list is there, but discovery has numbered none for it.
+            known.addProperty("seq", 0);
+        }
+        o.add("known", known);
+        o.add("settings", settings(proxy));
+        return o;
+    }
+
+    private JsonObject settings(int proxy) {
+        Experiment.Load asks = experiment.load();
+        Map<String, Object> s = new HashMap<>();
+        s.put("rank", proxy);
+        s.put("balancers", experiment.proxies().count());
+        s.put("zone", plan.zones().get(plan.proxyZones().get(proxy)));
+        s.put("localities", plan.zones());
+        s.put("tick_ms", 5.0);
+        s.put("family", "cache");
+        s.put("discovery", "automatic");
+        s.put("value_by", "work");
+        s.put("weights", "live");
+        List<String> kinds = new ArrayList<>(experiment.fleet().kinds().stream().map(Experiment.Kind::name).toList());
+        kinds.add("origin");
+        s.put("kinds", kinds);
+        s.put("domain", Map.of("mode", "aside", "origin_kind", kinds.size() - 1, "origin_fall_multiple", experiment.origin().fallMultiple(),
+                "origin_fall_ms", experiment.origin().fallS() * MS_PER_S));
+        s.put("clients", Map.of("marks_retry", asks.marksRetries()));
+        s.put("limits", Map.of("cancelling", true, "connect_timeout_ms", 100.0, "idle_close_ms", IDLE_MS, "max_open", 20_000,
+                "max_retry_after_ms", asks.maxRetryAfterMs(), "probing", false, "retry_after", true,
+                "second_copies", experiment.rules().secondCopies(), "try_limit", experiment.rules().attempts()));
+        double coldFrom = experiment.fleet().kinds().stream().mapToDouble(k -> k.coldFrom()[0]).min().orElse(1);
+        double coldMs = experiment.fleet().kinds().stream().mapToDouble(k -> k.coldS() * MS_PER_S).max().orElse(0);
+        s.put("obligations", Map.of("answer_slack_ms", 20.0, "ask_within_ms", 10_000.0, "cold_from", coldFrom, "cold_ms", coldMs,
+                "fall_ms", experiment.rules().coldWindowMs(), "fall_multiple", experiment.rules().coldMultiple(),
+                "stop_sending_within_ms", experiment.rules().drainMs()));
+        s.put("report", Map.of("fields", List.of(), "how", "silent"));
+        JsonArray classes = new JsonArray();
+        for (Experiment.Class c : asks.classes()) {
+            JsonObject o = new JsonObject();
+            o.addProperty("name", c.name());
+            o.addProperty("effect", switch (c.effect()) {
+                case SAFE -> "retryable";
+                case KEYED -> "dedup";
+                case UNSAFE -> "fragile";
+            });
+            o.addProperty("group", "all");
+            o.addProperty("objective_ms", c.aimMs());
+            o.addProperty("deadline_ms", c.deadlineMs());
+            o.addProperty("gain", c.worth());
+            o.addProperty("repeat_window_ms", c.repeatWindowMs());
+            classes.add(o);
+        }
+        JsonObject json = new Gson().toJsonTree(s).getAsJsonObject();
+        json.add("services", classes);
+        return json;
+    }
+}
--- a/src/main/java/hopglade/proxy/ClientServer.java
+++ b/src/main/java/hopglade/proxy/ClientServer.java
@@ -74,7 +74,6 @@
     private static final long CROWDED_IDLE_MS = 2000;
     /** Part of the connections that may have no request and never had a good one. */
     private static final int UNPROVEN_PART = 4;
-    private static final long KEY_BITS = (1L << 53) - 1;
 
     private final EventLoop loop;
     private final Proxy proxy;
@@ -174,15 +173,6 @@
         }
     }
 
-    /** Hashes the key's text as all proxies do, so that a key goes to the same nodes whichever proxy has it. */
-    static long key(String path) {
-        long hash = 0xcbf29ce484222325L;
-        for (int i = path.lastIndexOf('/') + 1; i < path.length(); i++) {
-            hash = (hash ^ path.charAt(i)) * 0x100000001b3L;
-        }
-        return (hash ^ hash >>> 32) & KEY_BITS;
-    }
-
     /** Puts requests together; one whose body is too long is told of by an exception, and its rest is dropped. */
     private static final class Bodies extends HttpObjectAggregator {
         Bodies() {
@@ -308,7 +298,7 @@
             }
             // A request that came behind another has waited here already.
             double waitedMs = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - arrived) / 1e3;
-            Request request = new Request(id, service.name(), headers.get("X-Caller"), key(path),
+            Request request = new Request(id, service.name(), headers.get("X-Caller"), PathKey.of(path),
                     Math.max(0, number(headers.get("X-Call-Cost"), 0)) / 1000, Math.max(0, budgetS * 1000 - waitedMs),
                     write, "1".equals(headers.get("X-Again")));
             enter(Phase.BUSY);
