--- a/src/main/java/hopglade/Decide.java
+++ b/src/main/java/hopglade/Decide.java
@@ -33,7 +33,7 @@
     static final int SPAN = 6;
     /** Refill rates of levels 1 and up, as multiples of the base. */
     static final double[] LADDER = {1.25, 1.0, 0.8, 0.6, 0.45, 0.3};
-    /** Advice on when to come again where no bank sets a pace: what failed here was one request's own bad luck. */
+    /** When a refused client may come again where no bank sets a pace. */
     static final double UNPACED_MS = 100;
     /** Tokens the bank holds: a few, so that a pause buys no burst. */
     static final double BANK = 4;
--- a/src/main/java/hopglade/cli/LabCommands.java
+++ b/src/main/java/hopglade/cli/LabCommands.java
@@ -4,12 +4,14 @@
 import hopglade.lab.Experiment;
 import hopglade.lab.ExperimentFile;
 import hopglade.lab.RunLine;
+import hopglade.lab.hunt.Hunt;
 import hopglade.lab.load.LoadPlan;
 import hopglade.lab.report.Comparison;
 import hopglade.lab.report.CurveReport;
 import hopglade.lab.report.HtmlReport;
 import hopglade.lab.report.Results;
 import hopglade.lab.sockets.SocketRun;
+import hopglade.lab.virtual.VirtualRun;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -18,6 +20,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
@@ -27,7 +30,7 @@
 import picocli.CommandLine.Model.CommandSpec;
 
 @Command(name = "lab", description = "Plays experiments: stand-in machines, real proxies, load, faults and a ledger that judges.",
-        mixinStandardHelpOptions = true, versionProvider = Version.class, synopsisSubcommandLabel = "run|check|sweep|compare")
+        mixinStandardHelpOptions = true, versionProvider = Version.class, synopsisSubcommandLabel = "run|sim|hunt|check|sweep|compare")
 final class LabCommands {
 
     private static final int BAR = 20;
@@ -86,6 +89,47 @@
         return good ? Cli.OK : Cli.FAILED;
     }
 
+    @Command(name = "sim", description = "Plays the same experiment in virtual time: no proxies, no sockets, the same results from the same seed.",
+            mixinStandardHelpOptions = true, versionProvider = Version.class)
+    int sim(@Mixin Given given, @Option(names = "--out", paramLabel = "DIR", description = "where results and report go (default: target/lab/NAME-sim)") Path out)
+            throws BadFileException, IOException {
+        Experiment experiment = given.read(Map.of());
+        Path directory = Files.createDirectories(out == null ? Path.of("target", "lab", experiment.name() + "-sim") : out);
+        Results results = new VirtualRun(experiment).play();
+        results.write(directory.resolve("results.json"));
+        HtmlReport.write(results, directory.resolve("report.html"));
+        summary(results, directory);
+        return results.good() ? Cli.OK : Cli.FAILED;
+    }
+
+    @Command(name = "hunt", description = "Draws days from a seed and plays them in virtual time; what breaks a rule is made as small as it can be and written down.",
+            mixinStandardHelpOptions = true, versionProvider = Version.class, exitCodeListHeading = "%nExit codes:%n",
+            exitCodeList = {"0:nothing found", "1:found, each with its file", "64:bad arguments"})
+    int hunt(@Option(names = "--budget", paramLabel = "SECONDS", defaultValue = "60s", description = "how long it looks, as 60s") String budget,
+             @Option(names = "--seed", paramLabel = "N", defaultValue = "1", description = "which days it draws") int seed,
+             @Option(names = "--out", paramLabel = "DIR", defaultValue = "experiments/found", description = "where files go") Path out) throws IOException {
+        if (!budget.matches("[1-9]\\d{0,4}s?")) {
+            throw new ParameterException(spec.commandLine(), "--budget: found " + budget + ", allowed is 1s to 99999s");
+        }
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(Long.parseLong(budget.replace("s", "")));
+        int[] days = new int[2];
+        List<Hunt.Found> found = new Hunt(seed).search(() -> System.nanoTime() < end, (number, wrong) -> {
+            days[0]++;
+            days[1] += wrong.isEmpty() ? 0 : 1;
+            if (!wrong.isEmpty()) {
+                System.out.println("day " + number + ": " + wrong);
+            }
+        });
+        for (Hunt.Found f : found) {
+            Files.createDirectories(out);
+            Path file = out.resolve(f.wrong().split(" ")[0].replace(":", "") + "-" + seed + "-" + f.number() + ".toml");
+            Files.writeString(file, "# " + f.wrong().lines().findFirst().orElse("") + "\n" + f.toml());
+            System.out.println("replay: ./flintmill lab sim " + file);
+        }
+        System.out.println(days[0] + " days, " + days[1] + " of them bad");
+        return found.isEmpty() ? Cli.OK : Cli.FAILED;
+    }
+
     private static Path directory(Path out, Experiment experiment) {
         return out == null ? Path.of("target", "lab", experiment.name()) : out;
     }
@@ -138,6 +182,7 @@
     int sweep(@Mixin Given given,
               @Option(names = "--over", required = true, paramLabel = "KEY=FROM..TO:STEPS", description = "as load.rate=200..1600:8") String over,
               @Option(names = "--out", paramLabel = "DIR", description = "where the curve goes (default: target/lab/NAME-sweep)") Path out,
+              @Option(names = "--sim", description = "in virtual time") boolean virtual,
               @Option(names = "--no-retries", description = "plays each step without the clients' retries too") boolean both)
             throws BadFileException, IOException, InterruptedException {
         Sweep sweep = Sweep.parse(over);
@@ -163,11 +208,13 @@
         for (Map.Entry<String, List<Experiment>> entry : series.entrySet()) {
             List<Results> results = new ArrayList<>();
             for (int i = 0; i < entry.getValue().size(); i++) {
-                results.add(play(entry.getValue().get(i), directory.resolve(entry.getKey().replace(' ', '-') + "-" + (i + 1))));
+                Experiment step = entry.getValue().get(i);
+                results.add(virtual ? new VirtualRun(step).play() : play(step, directory.resolve(entry.getKey().replace(' ', '-') + "-" + (i + 1))));
             }
             played.put(entry.getKey(), results);
         }
         System.out.print(CurveReport.table(sweep.key(), sweep.values(), played));
+        Files.createDirectories(directory);
         CurveReport.write(name, sweep.key(), sweep.values(), played, directory.resolve("curve.html"));
         System.out.println("see " + directory.resolve("curve.html"));
         return played.values().stream().flatMap(List::stream).allMatch(r -> r.violations().isEmpty()) ? Cli.OK : Cli.FAILED;
--- a/src/main/java/hopglade/lab/sockets/Oracle.java
+++ b/src/main/java/hopglade/lab/Oracle.java
@@ -1,4 +1,4 @@
-package hopglade.lab.sockets;
+package hopglade.lab;
 
 import hopglade.Router;
 import hopglade.Router.Availability;
@@ -10,7 +10,7 @@
 import java.util.Map;
 
 /** Asks a router of its own, to which nothing else ever happens, at which cache nodes a key is looked for. */
-final class Oracle implements Router.Actions {
+public final class Oracle implements Router.Actions {
 
     /** Far enough apart that no meter of the router's sees a load. */
     private static final double STEP_MS = 50;
@@ -21,7 +21,7 @@
     private long asked;
     private String sentTo;
 
-    Oracle(Router router, List<World.Entry> list, Installation plan) {
+    public Oracle(Router router, List<World.Entry> list, Installation plan) {
         this.router = router;
         this.origin = plan.origin().id();
         router.started(now, this);
@@ -30,7 +30,7 @@
     }
 
     /** The nodes that a read of this key is sent to when the first has missed. */
-    List<String> homes(long key, String service) {
+    public List<String> homes(long key, String service) {
         now += STEP_MS;
         String id = "o" + asked++;
         List<String> homes = new ArrayList<>();
--- /dev/null
+++ b/src/main/java/hopglade/lab/hunt/Hunt.java
@@ -0,0 +1,124 @@
+package hopglade.lab.hunt;
+
+import hopglade.config.BadFileException;
+import hopglade.config.Toml;
+import hopglade.lab.Experiment;
+import hopglade.lab.ExperimentFile;
+import hopglade.lab.report.Results;
+import hopglade.lab.virtual.VirtualRun;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+import org.apache.commons.math3.random.RandomGenerator;
+import org.apache.commons.math3.random.Well19937c;
+
+/**
+ * Plays drawn days until it is told to stop. A day is bad if its ledger proves a broken rule, or if with the load below
+ * capacity the control level is not back at 0 or a class still starves some seconds after the last fault has ended. Day
+ * {@code n} of a seed is the same whatever came of the days before it.
+ */
+public final class Hunt {
+
+    /** A bad day at its smallest: what is wrong with it, and the file that plays it. */
+    public record Found(int number, String wrong, Day day, String toml) { }
+
+    /** How long after the last fault the level may stay up. */
+    private static final double LEVEL_BACK_S = 10;
+    /** Offered load, as a share of capacity, below which everything has to come back by itself. */
+    private static final double LIGHT = 0.6;
+    private static final double STARVED = 0.2;
+    private static final int MOST_STEPS = 60;
+
+    private final long seed;
+    private final Function<Experiment, Results> play;
+
+    public Hunt(long seed) {
+        this(seed, e -> new VirtualRun(e).play());
+    }
+
+    /** {@code play} stands in for the driver, so that a search can be shown to find what is there. */
+    Hunt(long seed, Function<Experiment, Results> play) {
+        this.seed = seed;
+        this.play = play;
+    }
+
+    /** The day of a number. */
+    Day day(int number) {
+        RandomGenerator random = new Well19937c(new int[] {(int) seed, (int) (seed >>> 32), number});
+        return Day.draw(random);
+    }
+
+    /** Plays days in turn while {@code more} holds; {@code looked} hears of each day's number and what was wrong with it, or "". */
+    public List<Found> search(BooleanSupplier more, java.util.function.BiConsumer<Integer, String> looked) {
+        List<Found> found = new ArrayList<>();
+        for (int number = 1; more.getAsBoolean(); number++) {
+            Day day = day(number);
+            String wrong = wrong(day);
+            looked.accept(number, wrong);
+            String kind = kind(wrong);
+            if (!kind.isEmpty() && found.stream().noneMatch(f -> kind(f.wrong()).equals(kind))) {
+                found.add(smallest(number, day, wrong));
+            }
+        }
+        return found;
+    }
+
+    private Found smallest(int number, Day day, String wrong) {
+        Day best = day;
+        String why = wrong;
+        int steps = 0;
+        for (boolean smaller = true; smaller && steps < MOST_STEPS;) {
+            smaller = false;
+            for (Day next : best.smaller()) {
+                String found = wrong(next);
+                steps++;
+                if (kind(found).equals(kind(wrong))) {
+                    best = next;
+                    why = found;
+                    smaller = true;
+                    break;
+                }
+            }
+        }
+        String name = kind(wrong) + "-" + seed + "-" + number;
+        return new Found(number, why, best, best.toml(name, "Found by seed " + seed + ", day " + number + "."));
+    }
+
+    /** The rule or invariant, without what proves it. */
+    private static String kind(String wrong) {
+        return wrong.isEmpty() ? "" : wrong.split(" ")[0];
+    }
+
+    /** What is wrong with a day, beginning with the rule's or invariant's name; empty if nothing is. */
+    String wrong(Day day) {
+        Experiment experiment;
+        try {
+            experiment = ExperimentFile.of(Toml.parse("day", day.toml("day", "drawn")));
+        } catch (BadFileException e) {
+            throw new IllegalStateException("a drawn day is a good file", e);
+        }
+        Results results = play.apply(experiment);
+        if (!results.violations().isEmpty()) {
+            return results.violations().get(0);
+        }
+        double last = day.faults().stream().mapToDouble(f -> f.atS() + f.forS()).max().orElse(0);
+        boolean light = results.figures().get("load.over_capacity") < LIGHT;
+        if (light && day.durationS() > last + LEVEL_BACK_S + 1) {
+            List<Results.Window> calm = results.timeline().stream().filter(w -> w.s() > last + LEVEL_BACK_S).toList();
+            if (calm.isEmpty()) {
+                return "";
+            }
+            Results.Window end = calm.get(calm.size() - 1);
+            if (calm.stream().allMatch(w -> w.level() > 0)) {
+                return "level-stays at " + end.level() + " from " + LEVEL_BACK_S + " s after the last fault to the end";
+            }
+            double asked = calm.stream().mapToDouble(Results.Window::worthAsked).sum();
+            double served = calm.stream().mapToDouble(Results.Window::worthServed).sum();
+            if (served < STARVED * asked) {
+                return "starved: " + Results.plain(served / asked) + " of the worth is served from " + LEVEL_BACK_S + " s after the last fault";
+            }
+        }
+        return "";
+    }
+}
--- a/src/main/java/hopglade/lab/ledger/Ledger.java
+++ b/src/main/java/hopglade/lab/ledger/Ledger.java
@@ -89,6 +89,8 @@
         public double lostAt = Double.POSITIVE_INFINITY;
         /** When the client stopped waiting; infinite if it had an answer. */
         public double gaveUpAt = Double.POSITIVE_INFINITY;
+        /** It was the first request on its connection; closed without a word, such a one has failed and is not lost. */
+        public boolean fresh;
         /** The proxy began an answer that it could not finish. */
         public boolean begun;
 
--- a/src/main/java/hopglade/lab/report/Figures.java
+++ b/src/main/java/hopglade/lab/report/Figures.java
@@ -80,8 +80,12 @@
         put("served.late_share", share(stories.stream().filter(s -> s.served() && earned(s) == 0).count(), stories.size()));
         put("refused.share", share(stories.stream().filter(Story::refused).count(), stories.size()));
         put("failed.share", share(stories.stream().filter(s -> !s.served() && !s.refused()).count(), stories.size()));
+        put("failed.turned_away_share", share(ledger.tries().stream().filter(t -> t.fresh && t.replies.isEmpty() && t.attempts.isEmpty()
+                && t.lostAt < t.gaveUpAt).count(), stories.size()));
         put("load.requests", stories.size());
         put("load.rate", stories.size() / experiment.durationS());
+        double capacity = plan.nodes().stream().mapToDouble(n -> n.machine().cores() * n.machine().speed()).sum() * MS_PER_S;
+        put("load.over_capacity", stories.stream().mapToDouble(s -> s.first().workMs()).sum() / experiment.durationS() / capacity);
         put("load.worth_per_s", asked / experiment.durationS());
         put("load.tries_per_request", share(stories.stream().mapToInt(Story::tries).sum(), stories.size()));
         for (int i = 0; i < experiment.load().classes().size(); i++) {
--- /dev/null
+++ b/src/main/java/hopglade/lab/virtual/VirtualRun.java
@@ -0,0 +1,550 @@
+package hopglade.lab.virtual;
+
+import hopglade.Decide;
+import hopglade.Router.Availability;
+import hopglade.Router.ListKind;
+import hopglade.Router.Node;
+import hopglade.Router.Outcome;
+import hopglade.Router.Request;
+import hopglade.lab.Draw;
+import hopglade.lab.Experiment;
+import hopglade.lab.Oracle;
+import hopglade.lab.ProxySettings;
+import hopglade.lab.faults.Fault;
+import hopglade.lab.ledger.Ledger;
+import hopglade.lab.ledger.Ledger.Attempt;
+import hopglade.lab.ledger.Ledger.Reply;
+import hopglade.lab.ledger.Ledger.Try;
+import hopglade.lab.ledger.Ledger.Verdict;
+import hopglade.lab.ledger.Rules;
+import hopglade.lab.ledger.Rules.Rule;
+import hopglade.lab.ledger.Rules.Violation;
+import hopglade.lab.load.Habits;
+import hopglade.lab.load.Habits.Ending;
+import hopglade.lab.load.LoadPlan;
+import hopglade.lab.load.LoadPlan.First;
+import hopglade.lab.load.Story;
+import hopglade.lab.report.Figures;
+import hopglade.lab.report.Results;
+import hopglade.lab.report.Results.Mark;
+import hopglade.lab.world.Installation;
+import hopglade.lab.world.Strikes;
+import hopglade.lab.world.World;
+import hopglade.lab.world.World.Answer;
+import hopglade.lab.world.World.Entry;
+import hopglade.lab.world.World.Health;
+import hopglade.proxy.PathKey;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import org.apache.commons.math3.random.RandomGenerator;
+
+/** One experiment in virtual time. The same experiment and seed give the same results to the last digit. */
+public final class VirtualRun {
+
+    private static final double IDLE_MS = 10_000;
+    private static final double CONNECT_MS = 100;
+    private static final double MS_PER_S = 1000;
+    private static final double FRONT_MS = 300;
+    /** How long a proxy's start takes before it serves. */
+    private static final double START_MS = 1200;
+    private static final double SETTLE_MS = 500;
+    private static final int FILL_KEYS = 200_000;
+    private static final int MOST_VIOLATIONS = 100;
+    private static final int NOT_FOUND = 404;
+    private static final int OK = 200;
+
+    private final Experiment experiment;
+    private final Installation plan;
+    private final Habits habits;
+    private final LoadPlan load;
+    private final World world;
+    private final Agenda agenda = new Agenda();
+    private final Ledger ledger = new Ledger();
+    private final Acts acts = new Acts();
+    private final Strikes strikes;
+    private final RandomGenerator random;
+    private final List<VirtualProxy> proxies = new ArrayList<>();
+    private final List<Map<String, Entry>> lists = new ArrayList<>();
+    private final boolean[] inService;
+    private final Map<Long, Out> out = new HashMap<>();
+    private final Map<String, Out> byAttempt = new HashMap<>();
+    private final Map<String, Deque<Double>> idle = new HashMap<>();
+    private final Map<String, Double> resetShare = new HashMap<>();
+    private final Map<String, Double> silentUntil = new HashMap<>();
+    private final Map<String, First> asked = new HashMap<>();
+    private final double[] cutUntil;
+    private final int[] levels;
+    private final List<Mark> marks = new ArrayList<>();
+    private final List<Violation> seen = new ArrayList<>();
+    private final Story[] stories;
+    private long attempts;
+    private int connections;
+    private int turn;
+    private int lives;
+    private long largestTable;
+
+    /** An attempt that has left its proxy. */
+    private static final class Out {
+        final VirtualProxy proxy;
+        final String request;
+        final int number;
+        final String node;
+        final Attempt attempt;
+        final double delayMs;
+        boolean over;
+
+        Out(VirtualProxy proxy, String request, int number, String node, Attempt attempt, double delayMs) {
+            this.proxy = proxy;
+            this.request = request;
+            this.number = number;
+            this.node = node;
+            this.attempt = attempt;
+            this.delayMs = delayMs;
+        }
+    }
+
+    public VirtualRun(Experiment experiment) {
+        this.experiment = experiment;
+        this.plan = Draw.installation(experiment);
+        this.habits = new Habits(experiment);
+        this.load = LoadPlan.of(experiment);
+        this.world = new World(plan, new World.Limits(experiment.rules().coldMultiple(), experiment.rules().coldWindowMs()),
+                Draw.generator(experiment.seed(), Draw.Stream.WORLD));
+        this.strikes = new Strikes(world, acts, plan, ledger);
+        this.random = Draw.generator(experiment.seed(), Draw.Stream.CLIENTS);
+        this.inService = new boolean[plan.proxyZones().size()];
+        this.cutUntil = new double[plan.zones().size()];
+        this.levels = new int[(int) Math.ceil(experiment.durationS())];
+        this.stories = new Story[load.firsts().size()];
+    }
+
+    private final class Acts implements World.Effects {
+        @Override
+        public void answer(long attempt, Answer answer) {
+            answered(attempt, answer);
+        }
+
+        @Override
+        public void list(int proxy, long version, List<Entry> entries) {
+            Map<String, Entry> list = lists.get(proxy);
+            for (Entry e : entries) {
+                Entry before = list.put(e.id(), e);
+                if (before == null || before.health() != e.health() || before.startedAt() != e.startedAt()) {
+                    ledger.told(new Ledger.Told(proxy, e.id(), e.health(), e.startedAt(), agenda.now()));
+                }
+            }
+            proxies.get(proxy).nodes(ListKind.CHANGES, version, entries.stream().map(VirtualRun.this::node).toList());
+        }
+
+        @Override
+        public void died(String machine) {
+            ledger.changed(machine, Health.REMOVED, -1, agenda.now());
+            // Their connections are reset: what was out ends a link's delay later.
+            for (Out o : struck(o -> o.node.equals(machine))) {
+                drop(o);
+                agenda.in(o.delayMs, () -> end(o, Outcome.RESET, 0, 0));
+            }
+            idle.keySet().removeIf(k -> k.endsWith(" " + machine));
+        }
+
+        @Override
+        public void up(String machine) {
+            ledger.changed(machine, Health.UP, agenda.now(), agenda.now());
+        }
+
+        @Override
+        public void note(String text) {
+            mark(text);
+            if (text.startsWith("the origin")) {
+                ledger.originStopped(agenda.now());
+            }
+        }
+    }
+
+    private void mark(String what) {
+        marks.add(new Mark(Math.round(agenda.now()) / MS_PER_S, what));
+    }
+
+    private Node node(Entry e) {
+        Availability availability = switch (e.health()) {
+            case UP -> Availability.UP;
+            case DRAINING -> Availability.DRAINING;
+            case REMOVED -> Availability.GONE;
+        };
+        return new Node(e.id(), e.kind(), plan.zones().get(e.zone()), 0, e.weight(), Math.max(0, e.startedAt()), availability);
+    }
+
+    public Results play() {
+        fill();
+        for (int i = 0; i < inService.length; i++) {
+            lists.add(new TreeMap<>());
+            for (Entry e : world.truth()) {
+                lists.get(i).put(e.id(), e);
+                ledger.told(new Ledger.Told(i, e.id(), e.health(), e.startedAt(), 0));
+            }
+            proxies.add(born(i));
+            proxies.get(i).nodes(ListKind.FULL, world.version(), world.truth().stream().map(this::node).toList());
+            inService[i] = true;
+        }
+        experiment.faults().stream().filter(f -> !f.what().ofLoad()).forEach(f -> agenda.at(f.atMs(), () -> begin(f)));
+        if (!load.firsts().isEmpty()) {
+            agenda.at(load.firsts().get(0).atMs(), () -> arrive(0));
+        }
+        double longest = experiment.load().classes().stream().mapToDouble(Experiment.Class::deadlineMs).max().orElse(0);
+        double last = experiment.durationS() * MS_PER_S + longest + SETTLE_MS + experiment.rules().slackMs();
+        double nextLook = 0;
+        while (true) {
+            double next = Math.min(agenda.nextAt(), world.nextAt());
+            if (next > last) {
+                break;
+            }
+            if (next >= nextLook) {
+                look(nextLook);
+                nextLook += 100;
+            }
+            agenda.moveTo(next);
+            if (world.nextAt() <= next) {
+                world.advance(next, acts);
+            } else {
+                agenda.step();
+            }
+        }
+        return results();
+    }
+
+    private void look(double at) {
+        int second = (int) (at / MS_PER_S);
+        for (VirtualProxy p : proxies) {
+            if (second < levels.length) {
+                levels[second] = Math.max(levels[second], p.level());
+            }
+            largestTable = Math.max(largestTable, p.table());
+        }
+    }
+
+    private VirtualProxy born(int index) {
+        var settings = ProxySettings.read(experiment, plan, index, IDLE_MS, CONNECT_MS);
+        long seed = experiment.seed() * 31 + index * 7919L + lives++;
+        VirtualProxy proxy = new VirtualProxy(index, agenda, settings, new Decide(settings, seed), new Wires());
+        proxy.start(lists.get(index).values().stream().filter(e -> e.health() != Health.REMOVED).map(this::node).toList());
+        return proxy;
+    }
+
+    private void fill() {
+        var settings = ProxySettings.read(experiment, plan, 0, IDLE_MS, CONNECT_MS);
+        Oracle oracle = new Oracle(new Decide(settings, experiment.seed()), world.truth(), plan);
+        RandomGenerator ages = Draw.generator(experiment.seed(), Draw.Stream.STORES);
+        for (long key = Math.min(FILL_KEYS, plan.storing().keys()) - 1; key >= 0; key--) {
+            for (String home : oracle.homes(PathKey.of(Habits.path(key)), experiment.load().classes().get(0).name())) {
+                world.keep(home, key, ages.nextDouble() * plan.storing().ttlMs());
+            }
+        }
+    }
+
+    // Clients.
+
+    private void arrive(int index) {
+        if (index + 1 < load.firsts().size()) {
+            agenda.at(load.firsts().get(index + 1).atMs(), () -> arrive(index + 1));
+        }
+        attempt(load.firsts().get(index), 1);
+    }
+
+    private int pick(int zone) {
+        for (boolean anywhere : new boolean[] {false, true}) {
+            for (int i = 0; i < proxies.size(); i++) {
+                int proxy = Math.floorMod(turn + i, proxies.size());
+                if (inService[proxy] && (anywhere || plan.proxyZones().get(proxy) == zone)) {
+                    turn = proxy + 1;
+                    return proxy;
+                }
+            }
+        }
+        return -1;
+    }
+
+    private void attempt(First first, int tries) {
+        int index = pick(first.zone());
+        if (index < 0 || proxies.get(index).dead()) {
+            over(first, tries, Ending.UNREACHED, -1, 0);
+            return;
+        }
+        VirtualProxy proxy = proxies.get(index);
+        String id = habits.id(first, tries);
+        asked.put(id, first);
+        double budget = habits.budgetMs(first, agenda.now());
+        Experiment.Class type = habits.type(first);
+        Try entry = ledger.sent(id, first.index(), first.type(), first.key(), index, agenda.now(), budget);
+        boolean[] done = new boolean[1];
+        agenda.in(budget, () -> {
+            if (!done[0]) {
+                done[0] = true;
+                over(first, tries, Ending.FAILED, 0, 0);
+            }
+        });
+        agenda.in(budget + experiment.rules().slackMs(), () -> {
+            if (entry.replies.isEmpty()) {
+                entry.gaveUpAt = agenda.now();
+                proxy.clientGone(id);
+            }
+        });
+        proxy.request(new Request(id, type.name(), null, PathKey.of(Habits.path(first.key())), first.hintMs(), budget, type.write(),
+                tries > 1 && experiment.load().marksRetries()), (status, retryAfterMs, made) -> {
+                    entry.replies.add(new Reply(agenda.now(), status, retryAfterMs, made));
+                    if (!done[0]) {
+                        done[0] = true;
+                        over(first, tries, Habits.ending(status), status, retryAfterMs);
+                    }
+                });
+    }
+
+    private void over(First first, int tries, Ending ending, int status, double retryAfterMs) {
+        double again = habits.againAt(first, tries, ending, retryAfterMs, agenda.now());
+        if (Double.isNaN(again)) {
+            stories[first.index()] = new Story(first, 0, agenda.now(), status, tries);
+        } else {
+            agenda.at(again, () -> attempt(first, tries + 1));
+        }
+    }
+
+    // The network between proxies and machines.
+
+    private int zone(String machine) {
+        return machine.equals(plan.origin().id()) ? plan.origin().zone()
+                : plan.nodes().get(Integer.parseInt(machine.substring("node-".length()))).zone();
+    }
+
+    private boolean silent(int proxy, String machine) {
+        int here = plan.proxyZones().get(proxy);
+        int there = zone(machine);
+        return agenda.now() < silentUntil.getOrDefault(machine, 0.0)
+                || here != there && (agenda.now() < cutUntil[here] || agenda.now() < cutUntil[there]);
+    }
+
+    private final class Wires implements VirtualProxy.Network {
+        @Override
+        public void send(VirtualProxy from, String request, int number, String node, double waitMs) {
+            double delay = plan.delayMs(from.index, zone(node));
+            Deque<Double> kept = idle.computeIfAbsent(from.index + " " + node, k -> new ArrayDeque<>());
+            while (!kept.isEmpty() && kept.peekFirst() < agenda.now() - IDLE_MS) {
+                kept.removeFirst();
+            }
+            boolean open = !kept.isEmpty();
+            if (open) {
+                kept.removeLast();
+            }
+            boolean silent = silent(from.index, node);
+            if (!open && silent) {
+                agenda.in(Math.min(CONNECT_MS, waitMs), () -> from.ended(request, number, Outcome.CONNECT_FAILED, 0, 0));
+                return;
+            }
+            if (!world.alive(node) && !silent) {
+                agenda.in(2 * delay, () -> from.ended(request, number, open ? Outcome.RESET : Outcome.CONNECT_FAILED, 0, 0));
+                return;
+            }
+            if (!open) {
+                connections++;
+                if (random.nextDouble() < resetShare.getOrDefault(node, 0.0)) {
+                    agenda.in(2 * delay, () -> from.ended(request, number, Outcome.CONNECT_FAILED, 0, 0));
+                    return;
+                }
+                world.handshake(agenda.now(), node, acts);
+            }
+            First first = asked.get(request);
+            Experiment.Class type = habits.type(first);
+            World.Job job = new World.Job(request, first.key(), type.write(), first.workMs());
+            boolean origin = node.equals(plan.origin().id());
+            // On sockets the request's bytes are there at once, and wait for the link's delay at the machine.
+            Attempt attempt = new Attempt(++attempts, request, node, origin, from.index, agenda.now(), agenda.now(),
+                    silent ? 0 : world.weight(agenda.now(), node, job));
+            attempt.atColdNode = !origin && world.cold(node, agenda.now());
+            ledger.attempt(attempt);
+            Out o = new Out(from, request, number, node, attempt, delay);
+            byAttempt.put(key(from, request, number), o);
+            if (silent) {
+                // It never arrives, which its proxy cannot know.
+                return;
+            }
+            out.put(attempt.number, o);
+            agenda.in(open ? delay : 3 * delay, () -> {
+                if (out.get(attempt.number) == o && !silent(from.index, node)) {
+                    world.request(agenda.now(), node, attempt.number, from.index, job, acts);
+                }
+            });
+        }
+
+        @Override
+        public void abandon(VirtualProxy from, String request, int number) {
+            Out o = byAttempt.get(key(from, request, number));
+            if (o != null) {
+                o.attempt.closedAt = agenda.now();
+                o.over = true;
+                byAttempt.remove(key(from, request, number));
+                world.abandoned(request);
+                // Work goes on, but nobody hears of it: the answer is dropped when it comes.
+            }
+        }
+    }
+
+    private static String key(VirtualProxy proxy, String request, int number) {
+        return proxy.index + " " + request + " " + number;
+    }
+
+    private void drop(Out o) {
+        out.remove(o.attempt.number);
+    }
+
+    private void end(Out o, Outcome outcome, int note, long made) {
+        if (!o.over) {
+            o.over = true;
+            byAttempt.remove(key(o.proxy, o.request, o.number));
+            o.attempt.closedAt = Math.min(o.attempt.closedAt, outcome == Outcome.RESET || outcome == Outcome.ERROR ? agenda.now() : Double.POSITIVE_INFINITY);
+            o.proxy.ended(o.request, o.number, outcome, note, made);
+        }
+    }
+
+    private void answered(long number, Answer answer) {
+        Out o = out.get(number);
+        if (o == null) {
+            return;
+        }
+        drop(o);
+        o.attempt.ran = answer.ran();
+        o.attempt.verdict = answer.manner() != World.Manner.WHOLE ? Verdict.BROKEN : answer.rejected() ? Verdict.REJECTED
+                : answer.status() == NOT_FOUND ? Verdict.MISSED : answer.status() == OK ? Verdict.RAN : Verdict.ERRED;
+        agenda.in(o.delayMs, () -> {
+            if (silent(o.proxy.index, o.node) || o.proxy.dead()) {
+                return;
+            }
+            Outcome outcome = switch (answer.manner()) {
+                case WHOLE -> answer.rejected() ? Outcome.REJECTED : answer.status() == NOT_FOUND ? Outcome.MISS
+                        : answer.status() == OK ? Outcome.OK : Outcome.ERROR;
+                case HALF, RESET_AFTER -> Outcome.RESET;
+                case SPOILT -> Outcome.ERROR;
+                case NEVER -> null;
+            };
+            if (outcome == null || o.over) {
+                return;
+            }
+            if (answer.manner() == World.Manner.WHOLE) {
+                o.attempt.answeredAt = agenda.now();
+                idle.computeIfAbsent(o.proxy.index + " " + o.node, k -> new ArrayDeque<>()).addLast(agenda.now());
+            } else {
+                o.attempt.closedAt = agenda.now();
+            }
+            end(o, outcome, answer.hit().equals("hit") ? 1 : answer.hit().equals("miss") ? 2 : 0, number);
+        });
+    }
+
+    // Faults.
+
+    private void begin(Fault fault) {
+        mark(fault.what().name().toLowerCase(Locale.ROOT).replace('_', '-') + (fault.target().isEmpty() ? "" : " " + fault.target()));
+        if (strikes.begin(fault, agenda.now())) {
+            if (fault.forS() > 0) {
+                agenda.at(fault.endMs(), () -> strikes.end(fault, agenda.now()));
+            }
+            return;
+        }
+        switch (fault.what()) {
+            case NODE_SILENT -> strikes.targets(fault).forEach(id -> {
+                world.stall(agenda.now(), id, fault.endMs(), acts);
+                silentUntil.put(id, fault.endMs());
+                agenda.at(fault.endMs(), () -> healed(o -> o.node.equals(id)));
+            });
+            case ZONE_CUT -> {
+                int zone = plan.zones().indexOf(fault.target());
+                cutUntil[zone] = Math.max(cutUntil[zone], fault.endMs());
+                agenda.at(fault.endMs(), () -> healed(o -> plan.proxyZones().get(o.proxy.index) == zone != (zone(o.node) == zone)));
+            }
+            case RESET_BEFORE -> strikes.targets(fault).forEach(id -> {
+                resetShare.put(id, fault.share());
+                agenda.at(fault.endMs(), () -> resetShare.remove(id));
+            });
+            case DISCOVERY_SILENT -> each(fault, i -> world.holdNews(i, fault.endMs()));
+            case PROXY_KILL -> each(fault, i -> kill(i, fault));
+            case PROXY_TERM -> each(fault, i -> {
+                agenda.in(FRONT_MS, () -> inService[i] = false);
+                double longest = experiment.load().classes().stream().mapToDouble(Experiment.Class::deadlineMs).max().orElse(0);
+                agenda.in(FRONT_MS + longest + SETTLE_MS, () -> kill(i, fault));
+            });
+            case PROXY_STOP -> each(fault, i -> {
+                ledger.excuse(new Ledger.Excuse(i, agenda.now(), fault.endMs() + SETTLE_MS, "SIGSTOP"));
+                proxies.get(i).stop(fault.endMs());
+            });
+            case PROXY_HUP -> mark("proxy-hup changes nothing in virtual time");
+            case HOSTILE -> mark("hostile peers are not played in virtual time");
+            default -> throw new IllegalStateException("no such fault: " + fault.what());
+        }
+    }
+
+    /** In the order in which they were sent: a hash table's own would not be the same from run to run. */
+    private List<Out> struck(java.util.function.Predicate<Out> struck) {
+        return out.values().stream().filter(struck).sorted(Comparator.comparingLong(o -> o.attempt.number)).toList();
+    }
+
+    /** Connections from before a cut are reset when the link is back. */
+    private void healed(java.util.function.Predicate<Out> struck) {
+        for (Out o : struck(struck)) {
+            drop(o);
+            end(o, Outcome.RESET, 0, 0);
+        }
+    }
+
+    private void each(Fault fault, java.util.function.IntConsumer act) {
+        for (int i = 0; i < proxies.size(); i++) {
+            if (fault.target().equals("*") || fault.target().equals("proxy-" + i)) {
+                act.accept(i);
+            }
+        }
+    }
+
+    private void kill(int index, Fault fault) {
+        VirtualProxy old = proxies.get(index);
+        if (old.owed() > 0) {
+            ledger.excuse(new Ledger.Excuse(index, agenda.now(), agenda.now(), "it ended"));
+        }
+        old.die();
+        agenda.in(experiment.proxies().noticeS() * MS_PER_S, () -> {
+            if (proxies.get(index).dead()) {
+                inService[index] = false;
+            }
+        });
+        agenda.in(fault.forS() * MS_PER_S + START_MS, () -> {
+            proxies.set(index, born(index));
+            proxies.get(index).nodes(ListKind.FULL, world.version(),
+                    lists.get(index).values().stream().filter(e -> e.health() != Health.REMOVED).map(this::node).toList());
+            inService[index] = true;
+            mark("proxy-" + index + " is ready again");
+        });
+    }
+
+    private Results results() {
+        List<Story> told = java.util.Arrays.stream(stories).filter(java.util.Objects::nonNull).toList();
+        List<Violation> violations = new ArrayList<>(Rules.check(ledger, experiment));
+        violations.addAll(seen);
+        if (told.size() < stories.length) {
+            violations.add(new Violation(Rule.GENERATOR, "load", agenda.now(), stories.length - told.size() + " first tries have no end"));
+        }
+        for (VirtualProxy p : proxies) {
+            if (!p.dead() && p.owed() > 0) {
+                violations.add(new Violation(Rule.ONE_ANSWER, "proxy-" + p.index, agenda.now(), p.owed() + " requests are still owed an answer"));
+            }
+        }
+        List<Results.Window> timeline = Figures.windows(experiment, told, levels);
+        Map<String, Double> figures = Figures.of(experiment, plan, told, ledger, violations, timeline);
+        figures.put("proxy.table_max", (double) largestTable);
+        figures.put("machines.connections_opened", (double) connections);
+        marks.sort(Comparator.comparingDouble(Mark::atS));
+        return new Results(Results.FORM, experiment.name(), experiment.about(), "virtual", experiment.seed(), load.digest(), figures, timeline,
+                List.copyOf(marks), violations.stream().limit(MOST_VIOLATIONS).map(Violation::toString).toList(),
+                Results.missed(figures, experiment.expects()));
+    }
+}
