--- a/src/main/java/hopglade/cli/LabCommands.java
+++ b/src/main/java/hopglade/cli/LabCommands.java
@@ -34,6 +34,8 @@
 final class LabCommands {
 
     private static final int BAR = 20;
+    /** Proxies that one machine can hold as processes. */
+    private static final int MOST_PROCESSES = 64;
 
     @Spec
     private CommandSpec spec;
@@ -135,6 +137,10 @@
     }
 
     private static Results play(Experiment experiment, Path directory) throws BadFileException, IOException, InterruptedException {
+        if (experiment.proxies().count() > MOST_PROCESSES) {
+            throw new BadFileException("proxies.count: found " + experiment.proxies().count() + ", allowed on sockets is 1 to "
+                    + MOST_PROCESSES + "; lab sim plays more");
+        }
         RunLine line = RunLine.find(Path.of("."), experiment.proxies().run());
         Files.createDirectories(directory);
         System.out.println(experiment.name() + ": " + experiment.about());
--- a/src/main/java/hopglade/lab/ExperimentFile.java
+++ b/src/main/java/hopglade/lab/ExperimentFile.java
@@ -105,7 +105,7 @@
     }
 
     private static Experiment.Proxies proxies(Toml.Table t) throws BadFileException {
-        Experiment.Proxies proxies = new Experiment.Proxies(t.whole("count", 3, 1, 64), t.text("run", ""),
+        Experiment.Proxies proxies = new Experiment.Proxies(t.whole("count", 3, 1, 1000), t.text("run", ""),
                 t.whole("memory_mb", 128, 32, 65_536), t.whole("sockets", 512, 64, 65_536), t.number("notice_s", 1.5, 0, 60));
         t.done();
         return proxies;
--- a/src/main/java/hopglade/lab/report/Figures.java
+++ b/src/main/java/hopglade/lab/report/Figures.java
@@ -194,7 +194,7 @@
             windows.add(new Window(s, mine.size(), served, refused, mine.size() - served - refused,
                     mine.stream().mapToDouble(f::worth).sum(), mine.stream().mapToDouble(f::earned).sum(),
                     latency.getValueAtPercentile(50) / US_PER_MS, latency.getValueAtPercentile(99) / US_PER_MS,
-                    s < levels.length ? levels[s] : 0));
+                    s < levels.length ? levels[s] : 0, mine.stream().mapToDouble(Story::lateMs).max().orElse(0)));
         }
         return windows;
     }
--- a/src/main/java/hopglade/lab/report/Results.java
+++ b/src/main/java/hopglade/lab/report/Results.java
@@ -35,9 +35,9 @@
 
     public static final int FORM = 1;
 
-    /** One second: requests meant for it, what became of them, and the highest control level seen. Latencies in ms. */
+    /** One second: requests meant for it, what became of them, the highest control level seen, and how late the generator was at most. Latencies in ms. */
     public record Window(int s, int asked, int served, int refused, int failed, double worthAsked, double worthServed,
-                         double p50Ms, double p99Ms, int level) { }
+                         double p50Ms, double p99Ms, int level, double lateMaxMs) { }
 
     /** Something that happened at a time of the run. */
     public record Mark(double atS, String what) { }
--- a/src/main/java/hopglade/lab/sockets/Clients.java
+++ b/src/main/java/hopglade/lab/sockets/Clients.java
@@ -132,6 +132,36 @@
                     }).connect(proxy);
         }
         done.await(REHEARSAL_S, TimeUnit.SECONDS);
+        // And the way of a request: one of no known class is refused with 400 on a connection of its own.
+        CountDownLatch refused = new CountDownLatch(REHEARSED * proxies.size());
+        for (int i = 0; i < REHEARSALS; i++) {
+            loop.execute(() -> refusedIn(refused));
+        }
+        refused.await(REHEARSAL_S, TimeUnit.SECONDS);
+    }
+
+    private void refusedIn(CountDownLatch left) {
+        if (left.getCount() == 0 || stories.length == 0) {
+            return;
+        }
+        Exchange exchange = new Exchange(stories[0], habits.id(stories[0].first, REHEARSALS), (int) (left.getCount() % proxies.size()), 1000);
+        new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+                .handler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(BODY));
+                    }
+                }).connect(proxies.get(exchange.proxy)).addListener((io.netty.channel.ChannelFuture f) -> {
+                    if (f.isSuccess()) {
+                        FullHttpRequest request = request(exchange);
+                        request.headers().set("X-Call-Class", "rehearsal");
+                        f.channel().writeAndFlush(request);
+                    }
+                    f.channel().closeFuture().addListener(g -> {
+                        left.countDown();
+                        refusedIn(left);
+                    });
+                });
     }
 
     private static final class Rehearsal extends SimpleChannelInboundHandler<FullHttpResponse> {
--- a/src/test/java/hopglade/config/MistakesTest.java
+++ b/src/test/java/hopglade/config/MistakesTest.java
@@ -55,7 +55,7 @@
             name = "x";[[fleet.kind]];cores = 0                 | f:3: fleet.kind[0].cores: found 0
             name = "x";[[fleet.kind]];[[fleet.kind]];speed = 0  | f:4: fleet.kind[1].speed: found 0
             name = "x";[origin];speed = -1                      | f:3: origin.speed: found -1
-            name = "x";[proxies];count = 65                     | f:3: proxies.count: found 65, allowed is a whole number from 1 to 64
+            name = "x";[proxies];count = 1001                   | f:3: proxies.count: found 1001, allowed is a whole number from 1 to 1000
             name = "x";[load];rate = nan                        | f:3: load.rate: found
             name = "x";[load];rate = 1e9                        | f:3: load.rate: found
             name = "x";[[load.class]];share = 1                 | f:2: load.class[0].name: found nothing
--- a/src/test/java/hopglade/lab/hunt/HuntTest.java
+++ b/src/test/java/hopglade/lab/hunt/HuntTest.java
@@ -24,7 +24,7 @@
         boolean cut = e.faults().stream().anyMatch(f -> f.what() == Fault.Kind.ZONE_CUT);
         boolean silent = e.faults().stream().anyMatch(f -> f.what() == Fault.Kind.NODE_SILENT);
         Map<String, Double> figures = new TreeMap<>(Map.of("load.over_capacity", 0.5));
-        return new Results(Results.FORM, e.name(), "", "virtual", e.seed(), "", figures, List.of(new Results.Window(0, 1, 1, 0, 0, 1, 1, 1, 1, 0)),
+        return new Results(Results.FORM, e.name(), "", "virtual", e.seed(), "", figures, List.of(new Results.Window(0, 1, 1, 0, 0, 1, 1, 1, 1, 0, 0)),
                 List.of(), cut && silent ? List.of("drain x at 1.0 ms: planted") : List.of(), List.of());
     }
 
