--- a/src/main/java/hopglade/Main.java
+++ b/src/main/java/hopglade/Main.java
@@ -31,6 +31,8 @@
         if (first.equals("serve") && (args.length == 1 || args.length == 3 && args[1].equals("--options"))) {
             serve(args.length == 1 ? null : args[2]);
         } else if (first.equals("rehearse") && args.length == 1) {
+            // As serve does, so that the class archive holds what that loads.
+            Log.configure(Options.DEFAULTS.log());
             Service.rehearse();
         } else if (first.equals("benchlink") && args.length == 1) {
             hopglade.benchlink.Main.main(args);
