Let both drivers share the front, the filling of stores and names; drop dead accessors

Need: the drivers each held the same front and the same filling of stores, the longest deadline and a fault's label were worked out in several places, and the model kept figures that nobody read.

Change: Front, Oracle.fill, Load.longestMs, Fault.label and Kind.word are one piece each. No behaviour is changed.

--- a/src/main/java/hopglade/lab/Experiment.java
+++ b/src/main/java/hopglade/lab/Experiment.java
@@ -30,7 +30,13 @@
 
     public record Load(double rate, double zipf, double drift, int retries, double[] retryWaitMs, double honours,
                        boolean marksRetries, double[] patience, double costHintError, double maxRetryAfterMs,
-                       double latenessMs, List<Class> classes) { }
+                       double latenessMs, List<Class> classes) {
+
+        /** The longest time that a client of any class waits. */
+        public double longestMs() {
+            return classes.stream().mapToDouble(Class::deadlineMs).max().orElse(0);
+        }
+    }
 
     /** A class of requests; {@code effect} as {@link hopglade.Router.Effect}. */
     public record Class(String name, double share, double[] workMs, double aimMs, double deadlineMs, double worth,
--- a/src/main/java/hopglade/lab/ExperimentFile.java
+++ b/src/main/java/hopglade/lab/ExperimentFile.java
@@ -172,7 +172,7 @@
         for (Fault.Key key : what.keys()) {
             String word = key.name().toLowerCase(java.util.Locale.ROOT);
             if (!t.has(word)) {
-                throw t.bad(word, "nothing", "a value, as " + what.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-') + " needs it");
+                throw t.bad(word, "nothing", "a value, as " + what.word() + " needs it");
             }
             switch (key) {
                 case FOR_S -> forS = t.number(word, 0, 0.01, DAY_S);
--- a/src/main/java/hopglade/lab/Oracle.java
+++ b/src/main/java/hopglade/lab/Oracle.java
@@ -1,19 +1,24 @@
 package hopglade.lab;
 
+import hopglade.Decide;
 import hopglade.Router;
 import hopglade.Router.Availability;
 import hopglade.Router.ListKind;
+import hopglade.lab.load.Habits;
 import hopglade.lab.world.Installation;
 import hopglade.lab.world.World;
+import hopglade.proxy.PathKey;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import org.apache.commons.math3.random.RandomGenerator;
 
 /** Asks a router of its own, to which nothing else ever happens, at which cache nodes a key is looked for. */
 public final class Oracle implements Router.Actions {
 
     /** Far enough apart that no meter of the router's sees a load. */
     private static final double STEP_MS = 50;
+    private static final int FILL_KEYS = 200_000;
 
     private final Router router;
     private final String origin;
@@ -21,7 +26,7 @@
     private long asked;
     private String sentTo;
 
-    public Oracle(Router router, List<World.Entry> list, Installation plan) {
+    private Oracle(Router router, List<World.Entry> list, Installation plan) {
         this.router = router;
         this.origin = plan.origin().id();
         router.started(now, this);
@@ -29,8 +34,22 @@
                 e.weight(), 0, Availability.UP)).toList(), this);
     }
 
+    /**
+     * Nodes that run when the day begins hold what they were asked for lately: a router is asked where each key lives, the
+     * popular ones last, so that they are the freshest.
+     */
+    public static void fill(World world, Experiment experiment, Installation plan, Router.Settings settings) {
+        Oracle oracle = new Oracle(new Decide(settings, experiment.seed()), world.truth(), plan);
+        RandomGenerator ages = Draw.generator(experiment.seed(), Draw.Stream.STORES);
+        for (long key = Math.min(FILL_KEYS, plan.storing().keys()) - 1; key >= 0; key--) {
+            for (String home : oracle.homes(PathKey.of(Habits.path(key)), experiment.load().classes().get(0).name())) {
+                world.keep(home, key, ages.nextDouble() * plan.storing().ttlMs());
+            }
+        }
+    }
+
     /** The nodes that a read of this key is sent to when the first has missed. */
-    public List<String> homes(long key, String service) {
+    private List<String> homes(long key, String service) {
         now += STEP_MS;
         String id = "o" + asked++;
         List<String> homes = new ArrayList<>();
--- a/src/main/java/hopglade/lab/faults/Fault.java
+++ b/src/main/java/hopglade/lab/faults/Fault.java
@@ -1,6 +1,7 @@
 package hopglade.lab.faults;
 
 import java.util.EnumSet;
+import java.util.Locale;
 import java.util.Set;
 
 /**
@@ -81,12 +82,22 @@
             return keys;
         }
 
+        /** Its name as files write it. */
+        public String word() {
+            return name().toLowerCase(Locale.ROOT).replace('_', '-');
+        }
+
         /** Whether it changes what is asked, and so belongs to the load. */
         public boolean ofLoad() {
             return this == HOT_KEY || this == HEAVY || this == BURST;
         }
     }
 
+    /** Its kind and what it strikes. */
+    public String label() {
+        return what.word() + (target.isEmpty() ? "" : " " + target);
+    }
+
     public double atMs() {
         return atS * 1000;
     }
--- a/src/main/java/hopglade/lab/hunt/Day.java
+++ b/src/main/java/hopglade/lab/hunt/Day.java
@@ -79,7 +79,7 @@
                 """, name, about, seed, durationS, nodes, ZONES.subList(0, zones).stream().map(z -> '"' + z + '"')
                 .collect(java.util.stream.Collectors.joining(", ")), Math.max(1, nodes / 2), proxies, rate()));
         for (Fault f : faults) {
-            t.append("\n[[fault]]\nwhat = \"").append(f.what().name().toLowerCase(Locale.ROOT).replace('_', '-')).append("\"\nat_s = ")
+            t.append("\n[[fault]]\nwhat = \"").append(f.what().word()).append("\"\nat_s = ")
                     .append(f.atS()).append('\n');
             for (Fault.Key key : f.what().keys()) {
                 t.append(key.name().toLowerCase(Locale.ROOT)).append(" = ").append(switch (key) {
--- a/src/main/java/hopglade/lab/sockets/Clients.java
+++ b/src/main/java/hopglade/lab/sockets/Clients.java
@@ -5,6 +5,7 @@
 import hopglade.lab.ledger.Ledger;
 import hopglade.lab.ledger.Ledger.Reply;
 import hopglade.lab.ledger.Ledger.Try;
+import hopglade.lab.load.Front;
 import hopglade.lab.load.Habits;
 import hopglade.lab.load.Habits.Ending;
 import hopglade.lab.load.LoadPlan;
@@ -75,14 +76,12 @@
     private final Habits habits;
     private final Ledger ledger;
     private final List<InetSocketAddress> proxies;
-    private final List<Integer> zones;
-    private final boolean[] inService;
+    private final Front front;
     private final List<Deque<Connection>> idle = new ArrayList<>();
     private final Map<String, First> asked = new ConcurrentHashMap<>();
     private final Story[] stories;
     private volatile Counts counts = new Counts(0, 0, 0, 0, 0);
     private int next;
-    private int turn;
     private int open;
 
     Clients(EventLoop loop, RunClock clock, Experiment experiment, LoadPlan plan, Ledger ledger, List<InetSocketAddress> proxies,
@@ -93,8 +92,7 @@
         this.habits = new Habits(experiment);
         this.ledger = ledger;
         this.proxies = proxies;
-        this.zones = zones;
-        this.inService = new boolean[proxies.size()];
+        this.front = new Front(zones);
         this.stories = plan.firsts().stream().map(Story::new).toArray(Story[]::new);
         proxies.forEach(p -> idle.add(new ArrayDeque<>()));
     }
@@ -112,7 +110,7 @@
 
     /** The front puts a proxy into service or takes it out. */
     void inService(int proxy, boolean on) {
-        loop.execute(() -> inService[proxy] = on);
+        loop.execute(() -> front.inService(proxy, on));
     }
 
     /**
@@ -213,11 +211,6 @@
         return counts;
     }
 
-    /** Whether everything that was asked has ended; read from the loop. */
-    boolean done() {
-        return next == stories.length && open == 0;
-    }
-
     /** Sends what is due and comes back when the next one is. */
     private void pump() {
         while (next < stories.length && stories[next].first.atMs() <= clock.now()) {
@@ -235,22 +228,9 @@
         return habits.type(story.first);
     }
 
-    private int pick(int zone) {
-        for (boolean anywhere : new boolean[] {false, true}) {
-            for (int i = 0; i < proxies.size(); i++) {
-                int proxy = Math.floorMod(turn + i, proxies.size());
-                if (inService[proxy] && (anywhere || zones.get(proxy) == zone)) {
-                    turn = proxy + 1;
-                    return proxy;
-                }
-            }
-        }
-        return -1;
-    }
-
     private void attempt(Story story) {
         double budget = habits.budgetMs(story.first, clock.now());
-        int proxy = pick(story.first.zone());
+        int proxy = front.pick(story.first.zone());
         String id = habits.id(story.first, story.tries);
         story.tries++;
         asked.put(id, story.first);
--- a/src/main/java/hopglade/lab/sockets/SocketRun.java
+++ b/src/main/java/hopglade/lab/sockets/SocketRun.java
@@ -1,8 +1,6 @@
 package hopglade.lab.sockets;
 
 import com.google.gson.JsonObject;
-import hopglade.Decide;
-import hopglade.Router;
 import hopglade.lab.Draw;
 import hopglade.lab.Experiment;
 import hopglade.lab.Oracle;
@@ -12,7 +10,6 @@
 import hopglade.lab.ledger.Rules;
 import hopglade.lab.ledger.Rules.Rule;
 import hopglade.lab.ledger.Rules.Violation;
-import hopglade.lab.load.Habits;
 import hopglade.lab.load.LoadPlan;
 import hopglade.lab.load.Story;
 import hopglade.lab.report.Figures;
@@ -23,7 +20,6 @@
 import hopglade.lab.world.World;
 import hopglade.lab.world.World.Answer;
 import hopglade.lab.world.World.Entry;
-import hopglade.proxy.PathKey;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -69,7 +65,6 @@
     /** Clients that are on their way still come for so long after SIGTERM. */
     private static final double FRONT_MS = 300;
     private static final double HOSTILE_MS = 3000;
-    private static final int FILL_KEYS = 200_000;
     private static final int MOST_VIOLATIONS = 100;
 
     private final Experiment experiment;
@@ -198,22 +193,7 @@
             discoveries.get(i).open();
         }
         hostile = new HostilePeers(clientGroup.next(), clock, addresses, Draw.generator(experiment.seed(), Draw.Stream.HOSTILE));
-        fill();
-    }
-
-    /**
-     * Machines that run when the day begins hold what they were asked for lately: a router of its own is asked where each
-     * key lives, the popular ones last, so that they are the freshest.
-     */
-    private void fill() {
-        Router.Settings settings = ProxySettings.read(experiment, plan, 0, IDLE_MS, CONNECT_MS);
-        Oracle oracle = new Oracle(new Decide(settings, experiment.seed()), world.truth(), plan);
-        var random = Draw.generator(experiment.seed(), Draw.Stream.STORES);
-        for (long key = Math.min(FILL_KEYS, plan.storing().keys()) - 1; key >= 0; key--) {
-            for (String node : oracle.homes(PathKey.of(Habits.path(key)), experiment.load().classes().get(0).name())) {
-                world.keep(node, key, random.nextDouble() * plan.storing().ttlMs());
-            }
-        }
+        Oracle.fill(world, experiment, plan, ProxySettings.read(experiment, plan, 0, IDLE_MS, CONNECT_MS));
     }
 
     private void startAll() throws IOException, InterruptedException {
@@ -252,20 +232,16 @@
 
     private void guarded(Fault fault) {
         try {
-            mark(label(fault));
+            mark(fault.label());
             new FaultHand(fault).play();
         } catch (IOException | ExecutionException e) {
             mark("fault failed: " + e);
-            seen.add(new Violation(Rule.CRASH, label(fault), clock.now(), "the laboratory could not cause it: " + e));
+            seen.add(new Violation(Rule.CRASH, fault.label(), clock.now(), "the laboratory could not cause it: " + e));
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
-    private static String label(Fault fault) {
-        return fault.what().name().toLowerCase(Locale.ROOT).replace('_', '-') + (fault.target().isEmpty() ? "" : " " + fault.target());
-    }
-
     /** Carries one fault out, begin and end. */
     private final class FaultHand {
         private final Fault fault;
@@ -313,7 +289,7 @@
 
         private void atEnd(Runnable act) {
             loop.schedule(() -> {
-                mark("end of " + label(fault));
+                mark("end of " + fault.label());
                 act.run();
             }, clock.nanosUntil(fault.endMs()), TimeUnit.NANOSECONDS);
         }
@@ -343,7 +319,7 @@
             attempt(() -> {
                 proxies.get(i).signal("TERM");
                 hands.schedule(() -> clients.inService(i, false), (long) FRONT_MS, TimeUnit.MILLISECONDS);
-                double longest = experiment.load().classes().stream().mapToDouble(Experiment.Class::deadlineMs).max().orElse(0);
+                double longest = experiment.load().longestMs();
                 if (!proxies.get(i).awaitExit((long) (KILL_MS + Math.min(LONGEST_MS, longest) + SETTLE_MS))) {
                     seen.add(new Violation(Rule.CRASH, "proxy-" + i, clock.now(), "it had not ended when SIGKILL was due"));
                     proxies.get(i).signal("KILL");
@@ -411,14 +387,14 @@
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             } catch (Exception e) {
-                seen.add(new Violation(Rule.CRASH, label(fault), clock.now(), "the laboratory could not cause it: " + e));
+                seen.add(new Violation(Rule.CRASH, fault.label(), clock.now(), "the laboratory could not cause it: " + e));
             }
         }
     }
 
     /** Looks on until everything asked has ended, or should have long ago. */
     private void watch(Consumer<Progress> progress) throws InterruptedException {
-        double longest = experiment.load().classes().stream().mapToDouble(Experiment.Class::deadlineMs).max().orElse(0);
+        double longest = experiment.load().longestMs();
         double faultsEnd = experiment.faults().stream().mapToDouble(Fault::endMs).max().orElse(0);
         double last = Math.max(experiment.durationS() * MS_PER_S + longest + SETTLE_MS + 2 * experiment.rules().slackMs(),
                 experiment.faults().stream().anyMatch(f -> f.what() == Fault.Kind.HOSTILE) ? faultsEnd + HOSTILE_MS + SETTLE_MS : 0);
--- a/src/main/java/hopglade/lab/virtual/VirtualRun.java
+++ b/src/main/java/hopglade/lab/virtual/VirtualRun.java
@@ -19,6 +19,7 @@
 import hopglade.lab.ledger.Rules;
 import hopglade.lab.ledger.Rules.Rule;
 import hopglade.lab.ledger.Rules.Violation;
+import hopglade.lab.load.Front;
 import hopglade.lab.load.Habits;
 import hopglade.lab.load.Habits.Ending;
 import hopglade.lab.load.LoadPlan;
@@ -40,7 +41,6 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
 import org.apache.commons.math3.random.RandomGenerator;
@@ -55,7 +55,6 @@
     /** How long a proxy's start takes before it serves. */
     private static final double START_MS = 1200;
     private static final double SETTLE_MS = 500;
-    private static final int FILL_KEYS = 200_000;
     private static final int MOST_VIOLATIONS = 100;
     private static final int NOT_FOUND = 404;
     private static final int OK = 200;
@@ -72,7 +71,7 @@
     private final RandomGenerator random;
     private final List<VirtualProxy> proxies = new ArrayList<>();
     private final List<Map<String, Entry>> lists = new ArrayList<>();
-    private final boolean[] inService;
+    private final Front front;
     private final Map<Long, Out> out = new HashMap<>();
     private final Map<String, Out> byAttempt = new HashMap<>();
     private final Map<String, Deque<Double>> idle = new HashMap<>();
@@ -86,7 +85,6 @@
     private final Story[] stories;
     private long attempts;
     private int connections;
-    private int turn;
     private int lives;
     private long largestTable;
 
@@ -119,7 +117,7 @@
                 Draw.generator(experiment.seed(), Draw.Stream.WORLD));
         this.strikes = new Strikes(world, acts, plan, ledger);
         this.random = Draw.generator(experiment.seed(), Draw.Stream.CLIENTS);
-        this.inService = new boolean[plan.proxyZones().size()];
+        this.front = new Front(plan.proxyZones());
         this.cutUntil = new double[plan.zones().size()];
         this.levels = new int[(int) Math.ceil(experiment.durationS())];
         this.stories = new Story[load.firsts().size()];
@@ -182,8 +180,8 @@
     }
 
     public Results play() {
-        fill();
-        for (int i = 0; i < inService.length; i++) {
+        Oracle.fill(world, experiment, plan, ProxySettings.read(experiment, plan, 0, IDLE_MS, CONNECT_MS));
+        for (int i = 0; i < plan.proxyZones().size(); i++) {
             lists.add(new TreeMap<>());
             for (Entry e : world.truth()) {
                 lists.get(i).put(e.id(), e);
@@ -191,13 +189,13 @@
             }
             proxies.add(born(i));
             proxies.get(i).nodes(ListKind.FULL, world.version(), world.truth().stream().map(this::node).toList());
-            inService[i] = true;
+            front.inService(i, true);
         }
         experiment.faults().stream().filter(f -> !f.what().ofLoad()).forEach(f -> agenda.at(f.atMs(), () -> begin(f)));
         if (!load.firsts().isEmpty()) {
             agenda.at(load.firsts().get(0).atMs(), () -> arrive(0));
         }
-        double longest = experiment.load().classes().stream().mapToDouble(Experiment.Class::deadlineMs).max().orElse(0);
+        double longest = experiment.load().longestMs();
         double last = experiment.durationS() * MS_PER_S + longest + SETTLE_MS + experiment.rules().slackMs();
         double nextLook = 0;
         while (true) {
@@ -237,17 +235,6 @@
         return proxy;
     }
 
-    private void fill() {
-        var settings = ProxySettings.read(experiment, plan, 0, IDLE_MS, CONNECT_MS);
-        Oracle oracle = new Oracle(new Decide(settings, experiment.seed()), world.truth(), plan);
-        RandomGenerator ages = Draw.generator(experiment.seed(), Draw.Stream.STORES);
-        for (long key = Math.min(FILL_KEYS, plan.storing().keys()) - 1; key >= 0; key--) {
-            for (String home : oracle.homes(PathKey.of(Habits.path(key)), experiment.load().classes().get(0).name())) {
-                world.keep(home, key, ages.nextDouble() * plan.storing().ttlMs());
-            }
-        }
-    }
-
     // Clients.
 
     private void arrive(int index) {
@@ -257,21 +244,8 @@
         attempt(load.firsts().get(index), 1);
     }
 
-    private int pick(int zone) {
-        for (boolean anywhere : new boolean[] {false, true}) {
-            for (int i = 0; i < proxies.size(); i++) {
-                int proxy = Math.floorMod(turn + i, proxies.size());
-                if (inService[proxy] && (anywhere || plan.proxyZones().get(proxy) == zone)) {
-                    turn = proxy + 1;
-                    return proxy;
-                }
-            }
-        }
-        return -1;
-    }
-
     private void attempt(First first, int tries) {
-        int index = pick(first.zone());
+        int index = front.pick(first.zone());
         if (index < 0 || proxies.get(index).dead()) {
             over(first, tries, Ending.UNREACHED, -1, 0);
             return;
@@ -388,7 +362,6 @@
                 o.over = true;
                 byAttempt.remove(key(from, request, number));
                 world.abandoned(request);
-                // Work goes on, but nobody hears of it: the answer is dropped when it comes.
             }
         }
     }
@@ -446,7 +419,7 @@
     // Faults.
 
     private void begin(Fault fault) {
-        mark(fault.what().name().toLowerCase(Locale.ROOT).replace('_', '-') + (fault.target().isEmpty() ? "" : " " + fault.target()));
+        mark(fault.label());
         if (strikes.begin(fault, agenda.now())) {
             if (fault.forS() > 0) {
                 agenda.at(fault.endMs(), () -> strikes.end(fault, agenda.now()));
@@ -471,8 +444,8 @@
             case DISCOVERY_SILENT -> each(fault, i -> world.holdNews(i, fault.endMs()));
             case PROXY_KILL -> each(fault, i -> kill(i, fault));
             case PROXY_TERM -> each(fault, i -> {
-                agenda.in(FRONT_MS, () -> inService[i] = false);
-                double longest = experiment.load().classes().stream().mapToDouble(Experiment.Class::deadlineMs).max().orElse(0);
+                agenda.in(FRONT_MS, () -> front.inService(i, false));
+                double longest = experiment.load().longestMs();
                 agenda.in(FRONT_MS + longest + SETTLE_MS, () -> kill(i, fault));
             });
             case PROXY_STOP -> each(fault, i -> {
@@ -514,14 +487,14 @@
         old.die();
         agenda.in(experiment.proxies().noticeS() * MS_PER_S, () -> {
             if (proxies.get(index).dead()) {
-                inService[index] = false;
+                front.inService(index, false);
             }
         });
         agenda.in(fault.forS() * MS_PER_S + START_MS, () -> {
             proxies.set(index, born(index));
             proxies.get(index).nodes(ListKind.FULL, world.version(),
                     lists.get(index).values().stream().filter(e -> e.health() != Health.REMOVED).map(this::node).toList());
-            inService[index] = true;
+            front.inService(index, true);
             mark("proxy-" + index + " is ready again");
         });
     }
--- a/src/main/java/hopglade/lab/world/Machine.java
+++ b/src/main/java/hopglade/lab/world/Machine.java
@@ -44,7 +44,6 @@
     private boolean cold;
     private double slowness = 1;
     private double stalledUntil = -1;
-    private double busyMs;
 
     Machine(Make make, double now) {
         this.make = make;
@@ -74,11 +73,6 @@
         return make.cores();
     }
 
-    /** Core-milliseconds at speed 1 that its cores have worked so far. */
-    double busyMs() {
-        return busyMs;
-    }
-
     /** Loses all it holds; what it does from now on it does cold. */
     void restartCold(double now) {
         running.clear();
@@ -142,9 +136,7 @@
         while (at < now) {
             double next = Math.min(now, nextAt());
             double rate = rate();
-            double step = rate * Math.max(0, next - at);
-            served += step;
-            busyMs += step * running.size();
+            served += rate * Math.max(0, next - at);
             at = Math.max(at, next);
             finish(done);
             if (next >= now) {
--- a/src/main/java/hopglade/lab/world/Store.java
+++ b/src/main/java/hopglade/lab/world/Store.java
@@ -56,12 +56,4 @@
             return gone;
         });
     }
-
-    int size() {
-        return copies.size();
-    }
-
-    long used() {
-        return used;
-    }
 }
--- a/src/main/java/hopglade/lab/world/World.java
+++ b/src/main/java/hopglade/lab/world/World.java
@@ -57,7 +57,7 @@
         void note(String text);
     }
 
-    private record Open(long attempt, Job job, int proxy, String machine, double cameAt) { }
+    private record Open(long attempt, Job job, int proxy, String machine) { }
 
     private record News(double at, long version, List<Entry> entries) { }
 
@@ -187,33 +187,15 @@
         return units.get(machine).machine.capacity(now);
     }
 
-    /** Capacity of all cache nodes when warm, in core-milliseconds a millisecond. */
-    public double fleetCapacity() {
-        return units.values().stream().filter(u -> !u.origin()).mapToDouble(u -> u.machine.fullCapacity()).sum();
-    }
-
-    /** Work that a machine has done so far, in core-milliseconds at speed 1. */
-    public double busyMs(String machine) {
-        return units.get(machine).machine.busyMs();
-    }
-
     public boolean alive(String machine) {
         return units.get(machine).alive;
     }
 
-    public boolean idle() {
-        return open.isEmpty();
-    }
-
     /** Fills each node with what it would have been asked for lately: the keys of these ranks at these nodes. */
     public void keep(String node, long key, double voidAt) {
         units.get(node).store.put(key, new Store.Copy(bytes(key), versionOf(key), voidAt));
     }
 
-    public int kept(String node) {
-        return units.get(node).store.size();
-    }
-
     private long versionOf(long key) {
         return versions.getOrDefault(key, 0L);
     }
@@ -299,7 +281,7 @@
             return;
         }
         work(unit, now, out);
-        Open o = new Open(attempt, job, proxy, machine, now);
+        Open o = new Open(attempt, job, proxy, machine);
         double work = weight(now, machine, job);
         if (unit.machine.offer(attempt, work)) {
             open.put(attempt, o);
