--- a/src/main/java/hopglade/Decide.java
+++ b/src/main/java/hopglade/Decide.java
@@ -35,6 +35,9 @@
     static final double[] LADDER = {1.25, 1.0, 0.8, 0.6, 0.45, 0.3};
     /** When a refused client may come again where no bank sets a pace. */
     static final double UNPACED_MS = 100;
+    /** Usual times of a fetch that a request must have left for one, and the part that goes with less. */
+    static final double TIME_TO_FETCH = 2;
+    static final double TRIED_ANYWAY = 0.05;
     /** Tokens the bank holds: a few, so that a pause buys no burst. */
     static final double BANK = 4;
     /** What is left of the base after an interval at level 0 that did not reach it. */
@@ -158,6 +161,9 @@
     private final ServiceClass unknown;
     private final boolean hasOrigin;
     private List<NodeView> caches = List.of();
+    /** Of {@link #caches}, in their order, side by side: a pick reads all of them. */
+    private long[] hashes = {};
+    private double mostWeight;
     private NodeView origin;
     private List<Held> room = new ArrayList<>();
     private double intervalEnd;
@@ -377,6 +383,11 @@
         return control.level;
     }
 
+    @Override
+    public int entries() {
+        return requests.size() + fetching.size() + room.size();
+    }
+
     /** Takes in told keys; a message that is no whole number of keys loses its rest. */
     private void learn(ByteBuffer keys) {
         for (keys.rewind(); keys.remaining() >= Integer.BYTES;) {
@@ -457,7 +468,7 @@
 
     /** Fetches from the origin if a token is had; joins a fetch of ours that is out for the same key. */
     private void fetch(double now, Held r, Actions out) {
-        if (origin == null || !origin.listed || !hasTime(now, r)) {
+        if (origin == null || !origin.listed || !hasTime(now, r) || wouldBeLate(now, r)) {
             end(now, r, out);
         } else if (!r.in.write() && hold(r)) {
             return;
@@ -477,6 +488,15 @@
         }
     }
 
+    /**
+     * Whether a fetch would most likely end after its client has gone. Retries come with little time left;
+     * in a jam their fetches fill the origin's queue and nobody reads the answers. A few are tried all the
+     * same, as only answers tell that the jam has passed. Could harm where the origin's times spread widely.
+     */
+    private boolean wouldBeLate(double now, Held r) {
+        return r.draw >= TRIED_ANYWAY && r.guard - now < TIME_TO_FETCH * origin.usualMs;
+    }
+
     private boolean draw(double now, Held r) {
         r.hasToken = r.hasToken || control.level == 0 || bank.draw(now, r.low);
         return r.hasToken;
@@ -537,8 +557,15 @@
         NodeView second = null;
         double firstScore = 0;
         double secondScore = 0;
-        for (NodeView n : caches) {
-            double score = n.usable(now) ? n.score(r.place, n.share(now)) : 0;
+        long place = mix(r.place);
+        for (int i = 0; i < hashes.length; i++) {
+            double u = unit(hashes[i] ^ place);
+            // As ln(u) <= u - 1: what even the heaviest node could not win with needs no logarithm.
+            if (mostWeight <= secondScore * (1 - u)) {
+                continue;
+            }
+            NodeView n = caches.get(i);
+            double score = n.usable(now) ? -n.share(now) / Math.log(u) : 0;
             if (score > firstScore && n.admits(now, r)) {
                 second = first;
                 secondScore = firstScore;
@@ -711,6 +738,7 @@
             double target = Math.min(MODEL_SPAN, Math.max(1 / MODEL_SPAN, all * sum[1] / sum[0]));
             n.weight += SMOOTH * (target - n.weight);
         }
+        weighHeaviest();
     }
 
     /** Class gain, by work where value is, cut for what a tenant sends beyond its quota. */
@@ -740,9 +768,16 @@
         }
         list.sort(Comparator.comparing(n -> n.entry.id()));
         caches = list;
+        hashes = list.stream().mapToLong(n -> n.hash).toArray();
         if (settings.weights() == Weights.SIZE) {
             takeSizes();
         }
+        weighHeaviest();
+    }
+
+    private void weighHeaviest() {
+        double heaviest = caches.stream().mapToDouble(n -> n.weight).max().orElse(0);
+        mostWeight = Math.max(1, settings.rules().coldFrom()) * heaviest;
     }
 
     /** Listed sizes, kept within a span of their median, so that an absurd one shuts no node out. */
@@ -1003,10 +1038,6 @@
             return r.draw < coldChance * Math.min(1, due / r.heat);
         }
 
-        double score(long key, double share) {
-            return -share / Math.log(unit(hash ^ mix(key)));
-        }
-
         void ended(double now, AttemptEnd end, List<NodeView> peers) {
             inFlight = Math.max(0, inFlight - 1);
             lastEnd = now;
--- a/src/main/java/hopglade/Router.java
+++ b/src/main/java/hopglade/Router.java
@@ -194,4 +194,9 @@
     default int level() {
         return 0;
     }
+
+    /** Entries that it keeps for requests it has been told of: 0 when all of them are over, or something has leaked. */
+    default int entries() {
+        return 0;
+    }
 }
--- a/src/main/java/hopglade/cli/LabCommands.java
+++ b/src/main/java/hopglade/cli/LabCommands.java
@@ -11,6 +11,7 @@
 import hopglade.lab.report.HtmlReport;
 import hopglade.lab.report.Results;
 import hopglade.lab.sockets.SocketRun;
+import hopglade.lab.virtual.ModuleCost;
 import hopglade.lab.virtual.VirtualRun;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -30,7 +31,7 @@
 import picocli.CommandLine.Model.CommandSpec;
 
 @Command(name = "lab", description = "Plays experiments: stand-in machines, real proxies, load, faults and a ledger that judges.",
-        mixinStandardHelpOptions = true, versionProvider = Version.class, synopsisSubcommandLabel = "run|sim|hunt|check|sweep|compare")
+        mixinStandardHelpOptions = true, versionProvider = Version.class, synopsisSubcommandLabel = "run|sim|hunt|check|sweep|compare|cost")
 final class LabCommands {
 
     private static final int BAR = 20;
@@ -78,9 +79,7 @@
             @Option(names = "--out", paramLabel = "DIR", description = "where results, report and logs go (default: target/lab/NAME)") Path out,
             @Option(names = "--repeat", paramLabel = "N", defaultValue = "1", description = "plays it N times, with seeds that follow one another") int repeat)
             throws BadFileException, IOException, InterruptedException {
-        if (repeat < 1 || repeat > 100) {
-            throw new ParameterException(spec.commandLine(), "--repeat: found " + repeat + ", allowed is 1 to 100");
-        }
+        checkRepeat(repeat);
         boolean good = true;
         long first = given.read(Map.of()).seed();
         for (int i = 0; i < repeat; i++) {
@@ -132,6 +131,12 @@
         return found.isEmpty() ? Cli.OK : Cli.FAILED;
     }
 
+    private void checkRepeat(int repeat) {
+        if (repeat < 1 || repeat > 100) {
+            throw new ParameterException(spec.commandLine(), "--repeat: found " + repeat + ", allowed is 1 to 100");
+        }
+    }
+
     private static Path directory(Path out, Experiment experiment) {
         return out == null ? Path.of("target", "lab", experiment.name()) : out;
     }
@@ -189,41 +194,54 @@
               @Option(names = "--over", required = true, paramLabel = "KEY=FROM..TO:STEPS", description = "as load.rate=200..1600:8") String over,
               @Option(names = "--out", paramLabel = "DIR", description = "where the curve goes (default: target/lab/NAME-sweep)") Path out,
               @Option(names = "--sim", description = "in virtual time") boolean virtual,
+              @Option(names = "--repeat", paramLabel = "N", defaultValue = "1", description = "plays each step N times; on sockets with one seed, "
+                      + "so that the spread is the machine's, in virtual time with seeds that follow one another") int repeat,
               @Option(names = "--no-retries", description = "plays each step without the clients' retries too") boolean both)
             throws BadFileException, IOException, InterruptedException {
         Sweep sweep = Sweep.parse(over);
         if (sweep == null) {
             throw new ParameterException(spec.commandLine(), "--over: found " + over + ", allowed is KEY=FROM..TO:STEPS with 2 to 100 steps, as load.rate=200..1600:8");
         }
+        checkRepeat(repeat);
         // All of it is read before anything starts.
-        Map<String, List<Experiment>> series = new LinkedHashMap<>();
+        Map<String, List<List<Experiment>>> series = new LinkedHashMap<>();
+        long first = given.read(Map.of()).seed();
         for (boolean retries : both ? new boolean[] {true, false} : new boolean[] {true}) {
-            List<Experiment> steps = new ArrayList<>();
+            List<List<Experiment>> steps = new ArrayList<>();
             for (double value : sweep.values()) {
                 Map<String, String> set = new LinkedHashMap<>(Map.of(sweep.key(), Results.plain(value)));
                 if (!retries) {
                     set.put("load.retries", "0");
                 }
-                steps.add(given.read(set));
+                List<Experiment> runs = new ArrayList<>();
+                for (int i = 0; i < repeat; i++) {
+                    set.put("seed", String.valueOf(virtual ? first + i : first));
+                    runs.add(given.read(set));
+                }
+                steps.add(runs);
             }
             series.put(retries ? "with retries" : "without retries", steps);
         }
-        String name = series.values().iterator().next().get(0).name();
+        String name = series.values().iterator().next().get(0).get(0).name();
         Path directory = out == null ? Path.of("target", "lab", name + "-sweep") : out;
-        Map<String, List<Results>> played = new LinkedHashMap<>();
-        for (Map.Entry<String, List<Experiment>> entry : series.entrySet()) {
-            List<Results> results = new ArrayList<>();
-            for (int i = 0; i < entry.getValue().size(); i++) {
-                Experiment step = entry.getValue().get(i);
-                results.add(virtual ? new VirtualRun(step).play() : play(step, directory.resolve(entry.getKey().replace(' ', '-') + "-" + (i + 1))));
+        Map<String, List<List<Results>>> played = new LinkedHashMap<>();
+        for (Map.Entry<String, List<List<Experiment>>> entry : series.entrySet()) {
+            List<List<Results>> steps = new ArrayList<>();
+            for (List<Experiment> runs : entry.getValue()) {
+                List<Results> results = new ArrayList<>();
+                for (Experiment run : runs) {
+                    Path own = directory.resolve(entry.getKey().replace(' ', '-') + "-" + (steps.size() + 1)).resolve(String.valueOf(results.size() + 1));
+                    results.add(virtual ? new VirtualRun(run).play() : play(run, own));
+                }
+                steps.add(results);
             }
-            played.put(entry.getKey(), results);
+            played.put(entry.getKey(), steps);
         }
         System.out.print(CurveReport.table(sweep.key(), sweep.values(), played));
         Files.createDirectories(directory);
         CurveReport.write(name, sweep.key(), sweep.values(), played, directory.resolve("curve.html"));
         System.out.println("see " + directory.resolve("curve.html"));
-        return played.values().stream().flatMap(List::stream).allMatch(r -> r.violations().isEmpty()) ? Cli.OK : Cli.FAILED;
+        return played.values().stream().flatMap(List::stream).flatMap(List::stream).allMatch(r -> r.violations().isEmpty()) ? Cli.OK : Cli.FAILED;
     }
 
     /** The values of one key that a sweep goes through. */
@@ -252,6 +270,22 @@
         }
     }
 
+    @Command(name = "cost", description = "Measures what the module itself costs for each request as nodes and proxies grow.",
+            mixinStandardHelpOptions = true, versionProvider = Version.class)
+    int cost(@Option(names = "--nodes", split = ",", paramLabel = "N", defaultValue = "10,100,1000", description = "fleets, as 10,100,1000") List<Integer> nodes,
+             @Option(names = "--proxies", split = ",", paramLabel = "N", defaultValue = "3,30,300", description = "numbers of proxies, as 3,30,300") List<Integer> proxies)
+            throws BadFileException {
+        System.out.printf("%8s %8s %18s %18s%n", "nodes", "proxies", "CPU us/request", "bytes/request");
+        for (int p : proxies) {
+            for (int n : nodes) {
+                ModuleCost.Cost cost = ModuleCost.measure(ExperimentFile.of(hopglade.config.Toml.parse("lab cost",
+                        "name = \"cost\"\n[fleet]\nkeys = 100000\nnodes = " + n + "\n[proxies]\ncount = " + p + "\n")));
+                System.out.printf(Locale.ROOT, "%8d %8d %10.2f ± %5.2f %18.0f%n", n, p, cost.cpuUs(), cost.spreadUs(), cost.allocatedBytes());
+            }
+        }
+        return Cli.OK;
+    }
+
     @Command(name = "compare", description = "Puts two results side by side. With folders of --repeat runs, each figure has its spread.",
             mixinStandardHelpOptions = true, versionProvider = Version.class)
     int compare(@Parameters(paramLabel = "A", description = "results.json, or a folder of runs") Path a,
--- a/src/main/java/hopglade/lab/ExperimentFile.java
+++ b/src/main/java/hopglade/lab/ExperimentFile.java
@@ -14,7 +14,8 @@
 public final class ExperimentFile {
 
     private static final double DAY_S = 86_400;
-    private static final double MOST_RATE = 20_000;
+    private static final Pattern PART = Pattern.compile("[1-9]\\d?%");
+    private static final double MOST_RATE = 200_000;
     private static final double MOST_MS = 600_000;
     private static final Pattern FIGURE = Pattern.compile("[a-z0-9_]+(\\.[A-Za-z0-9_-]+)+");
 
@@ -96,7 +97,7 @@
     }
 
     private static Experiment.Origin origin(Toml.Table t) throws BadFileException {
-        Experiment.Origin origin = new Experiment.Origin(t.whole("cores", 4, 1, 256), t.number("speed", 1, 0.01, 100),
+        Experiment.Origin origin = new Experiment.Origin(t.whole("cores", 4, 1, 4096), t.number("speed", 1, 0.01, 100),
                 t.whole("slots", 64, 1, 100_000), t.whole("room", 200, 0, 1_000_000), t.number("fetch_share", 0.6, 0.01, 100),
                 t.number("write_times", 1.5, 0.1, 100), t.number("fall_multiple", 2.5, 0, 1000),
                 t.number("fall_s", 3, 0.1, 600), t.range("down_s", new double[] {3, 6}, 0, 600));
@@ -199,12 +200,12 @@
 
     private static String numbered(Toml.Table t, String key, String prefix, int count, boolean origin) throws BadFileException {
         String found = t.text(key, "");
-        boolean good = found.equals("*") || origin && found.equals("origin");
+        boolean good = found.equals("*") || PART.matcher(found).matches() || origin && found.equals("origin");
         for (int i = 0; i < count && !good; i++) {
             good = found.equals(prefix + i);
         }
         if (!good) {
-            throw t.bad(key, '"' + found + '"', "*, " + (origin ? "origin, " : "") + prefix + "0 to " + prefix + (count - 1));
+            throw t.bad(key, '"' + found + '"', "*, 1% to 99%, " + (origin ? "origin, " : "") + prefix + "0 to " + prefix + (count - 1));
         }
         return found;
     }
--- a/src/main/java/hopglade/lab/faults/Fault.java
+++ b/src/main/java/hopglade/lab/faults/Fault.java
@@ -10,7 +10,7 @@
  * @param what     its kind
  * @param atS      when it begins, in seconds of the run
  * @param forS     how long it lasts, in seconds
- * @param target   a node ({@code node-3}, {@code *} for all), {@code origin}, a proxy ({@code proxy-0}, {@code *}) or a zone
+ * @param target   a node ({@code node-3}, {@code *} for all, {@code 30%} for a part), {@code origin}, a proxy ({@code proxy-0}, as for nodes) or a zone
  * @param share    part of what it strikes, 0 to 1
  * @param factor   how much slower or heavier, as a multiple; for {@code discovery-stale} the seconds that news is later;
  *                 for {@code hostile} the peers a second
@@ -18,6 +18,9 @@
  */
 public record Fault(Kind what, double atS, double forS, String target, double share, double factor, int keys) {
 
+    /** A prime above any count, so that a part takes each index once and neighbours fall apart. */
+    private static final int SPREAD = 7919;
+
     /** Keys that a fault's table may hold beside {@code what} and {@code at_s}. */
     public enum Key { FOR_S, NODE, PROXY, ZONE, SHARE, FACTOR, KEYS, CLASS }
 
@@ -98,6 +101,18 @@
         return what.word() + (target.isEmpty() ? "" : " " + target);
     }
 
+    /**
+     * Whether it strikes the machine or proxy of an index among {@code count}: all for {@code *}, that one for its name. A
+     * part, as {@code 30%}, is spread evenly and the same at each fault, and holds one at least.
+     */
+    public boolean strikes(String prefix, int index, int count) {
+        if (target.endsWith("%")) {
+            int part = Integer.parseInt(target.substring(0, target.length() - 1));
+            return (long) index * SPREAD % count < Math.max(1, Math.round(part * count / 100.0));
+        }
+        return target.equals("*") || target.equals(prefix + index);
+    }
+
     public double atMs() {
         return atS * 1000;
     }
--- a/src/main/java/hopglade/lab/hunt/Day.java
+++ b/src/main/java/hopglade/lab/hunt/Day.java
@@ -3,8 +3,10 @@
 import hopglade.lab.faults.Fault;
 import hopglade.lab.faults.Fault.Kind;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
 import org.apache.commons.math3.random.RandomGenerator;
 
 /** One drawn day, small enough to be written down whole and to be made smaller piece by piece. */
@@ -15,9 +17,13 @@
             Kind.NODE_ERRORS, Kind.RESET_BEFORE, Kind.RESET_AFTER, Kind.HALF_ANSWER, Kind.SPOILT_ANSWER, Kind.ORIGIN_STALL, Kind.ORIGIN_SLOW,
             Kind.ZONE_CUT, Kind.DISCOVERY_SILENT, Kind.DISCOVERY_STALE, Kind.MASS_VOIDING, Kind.HOT_KEY, Kind.BURST, Kind.PROXY_KILL,
             Kind.PROXY_TERM, Kind.PROXY_STOP);
+    /** Those that may strike the origin's connections and answers as well as a node's. */
+    private static final Set<Kind> ORIGIN_TOO = EnumSet.of(Kind.RESET_BEFORE, Kind.RESET_AFTER, Kind.HALF_ANSWER, Kind.SPOILT_ANSWER);
     private static final List<String> ZONES = List.of("a", "b", "c");
     /** Core-milliseconds a second that a node of two cores of speed 1 has, over the mean work of a request. */
     private static final double REQUESTS_A_NODE = 2000 / 35.0;
+    /** One day in so many is one of overload. */
+    private static final int OVERLOADED = 6;
     private static final int FIRST_S = 4;
     /** Calm at the end, in which everything must come back. */
     static final int CALM_S = 14;
@@ -35,15 +41,18 @@
         for (int i = 1 + random.nextInt(4); i > 0; i--) {
             Kind kind = KINDS.get(random.nextInt(KINDS.size()));
             double at = FIRST_S + random.nextInt(duration - FIRST_S - CALM_S);
-            double length = 0.5 + random.nextInt(10) / 2.0;
+            double length = 0.5 + random.nextInt(16) / 2.0;
             double share = (1 + random.nextInt(10)) / 10.0;
             double factor = kind == Kind.BURST ? 1.5 + random.nextInt(3) : 2 + random.nextInt(8);
-            String target = kind.keys().contains(Fault.Key.NODE) ? "node-" + random.nextInt(nodes)
+            boolean origin = random.nextInt(4) == 0 && ORIGIN_TOO.contains(kind);
+            String target = origin ? "origin" : kind.keys().contains(Fault.Key.NODE) ? "node-" + random.nextInt(nodes)
                     : kind.keys().contains(Fault.Key.PROXY) ? "proxy-" + random.nextInt(proxies)
                     : kind.keys().contains(Fault.Key.ZONE) ? ZONES.get(random.nextInt(zones)) : "";
             faults.add(new Fault(kind, at, Math.min(length, duration - CALM_S - at), target, share, factor, 1 + random.nextInt(3)));
         }
-        return new Day(nodes, zones, proxies, (2 + random.nextInt(7)) / 10.0, duration, random.nextInt(1_000_000), faults);
+        // Some days ask for far more than there is from beginning to end.
+        double load = random.nextInt(OVERLOADED) == 0 ? 1.5 + random.nextInt(4) / 2.0 : (2 + random.nextInt(7)) / 10.0;
+        return new Day(nodes, zones, proxies, load, duration, random.nextInt(1_000_000), faults);
     }
 
     /** First tries a second. */
--- a/src/main/java/hopglade/lab/hunt/Hunt.java
+++ b/src/main/java/hopglade/lab/hunt/Hunt.java
@@ -4,10 +4,14 @@
 import hopglade.config.Toml;
 import hopglade.lab.Experiment;
 import hopglade.lab.ExperimentFile;
+import hopglade.lab.faults.Fault.Kind;
 import hopglade.lab.report.Results;
 import hopglade.lab.virtual.VirtualRun;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import org.apache.commons.math3.random.RandomGenerator;
@@ -29,6 +33,14 @@
     private static final double LIGHT = 0.6;
     private static final double STARVED = 0.2;
     private static final int MOST_STEPS = 60;
+    /** Timers that a router may hold with nothing to do: its step and a few that look after lists. */
+    private static final double TIMERS = 4;
+    /** Requests of a class from which on its share tells something. */
+    private static final double MANY = 20;
+    /** The busiest node's work over the mean, by capacity, on a day without faults that empty or shut nodes. */
+    private static final double FAVOURITE = 2;
+    private static final Set<Kind> UNEVEN = EnumSet.of(Kind.HOT_KEY, Kind.NODE_KILL, Kind.NODE_RESTART, Kind.NODE_DRAIN, Kind.NODE_SILENT,
+            Kind.NODE_SLOW, Kind.NODE_ERRORS, Kind.ZONE_CUT);
 
     private final long seed;
     private final Function<Experiment, Results> play;
@@ -98,12 +110,32 @@
         } catch (BadFileException e) {
             throw new IllegalStateException("a drawn day is a good file", e);
         }
-        Results results = play.apply(experiment);
+        Results results;
+        try {
+            results = play.apply(experiment);
+        } catch (RuntimeException e) {
+            return "threw " + e;
+        }
         if (!results.violations().isEmpty()) {
             return results.violations().get(0);
         }
+        // A proxy that was stopped answers late what its router had no chance to.
+        double forgotten = results.figures().getOrDefault("proxy.backstops", 0.0);
+        if (forgotten > 0 && day.faults().stream().noneMatch(f -> f.what() == Kind.PROXY_STOP)) {
+            return "forgotten: " + Results.plain(forgotten) + " requests that the proxy had to answer in its router's place";
+        }
+        String grown = grown(results.figures());
+        if (!grown.isEmpty()) {
+            return grown;
+        }
         double last = day.faults().stream().mapToDouble(f -> f.atS() + f.forS()).max().orElse(0);
         boolean light = results.figures().get("load.over_capacity") < LIGHT;
+        if (light) {
+            String unfair = unfair(day, results.figures());
+            if (!unfair.isEmpty()) {
+                return unfair;
+            }
+        }
         if (light && day.durationS() > last + LEVEL_BACK_S + 1) {
             List<Results.Window> calm = results.timeline().stream().filter(w -> w.s() > last + LEVEL_BACK_S).toList();
             if (calm.isEmpty()) {
@@ -121,4 +153,29 @@
         }
         return "";
     }
+
+    /** What is still kept when every request is over. */
+    private static String grown(Map<String, Double> figures) {
+        double entries = figures.getOrDefault("proxy.entries_left", 0.0);
+        double timers = figures.getOrDefault("proxy.timers_left", 0.0);
+        return entries > 0 ? "leak of " + Results.plain(entries) + " entries that a router keeps when all requests are over"
+                : timers > TIMERS ? "timers: " + Results.plain(timers) + " are still to come when all requests are over" : "";
+    }
+
+    /** A class, a key or a node that the others live at the cost of. */
+    private static String unfair(Day day, Map<String, Double> figures) {
+        for (Map.Entry<String, Double> f : figures.entrySet()) {
+            if (f.getKey().matches("class\\..*\\.worth") && f.getValue() < STARVED
+                    && figures.get(f.getKey().replace(".worth", ".requests")) >= MANY) {
+                return "class-starved " + f.getKey() + " is " + Results.plain(f.getValue());
+            }
+        }
+        double keys = figures.getOrDefault("served.starved_keys", 0.0);
+        if (keys > 0) {
+            return "keys-starved: " + Results.plain(keys) + " keys were asked for again and again and never served";
+        }
+        boolean even = day.nodes() >= 4 && day.faults().stream().noneMatch(f -> UNEVEN.contains(f.what()));
+        double busiest = figures.getOrDefault("routing.busiest_use_over_mean", 0.0);
+        return even && busiest > FAVOURITE ? "favourite: the busiest node has " + Results.plain(busiest) + " times the mean" : "";
+    }
 }
--- a/src/main/java/hopglade/lab/ledger/Ledger.java
+++ b/src/main/java/hopglade/lab/ledger/Ledger.java
@@ -84,7 +84,7 @@
         public final double sentAt;
         public final double budgetMs;
         public final List<Reply> replies = new ArrayList<>(1);
-        public final List<Attempt> attempts = Collections.synchronizedList(new ArrayList<>(2));
+        public final List<Attempt> attempts = new ArrayList<>(2);
         /** When the proxy closed on it without a whole answer; infinite if it did not. */
         public double lostAt = Double.POSITIVE_INFINITY;
         /** When the client stopped waiting; infinite if it had an answer. */
--- a/src/main/java/hopglade/lab/ledger/Rules.java
+++ b/src/main/java/hopglade/lab/ledger/Rules.java
@@ -76,12 +76,21 @@
     private final List<Violation> found = new ArrayList<>();
     /** Fetches of each key by each proxy: a read may wait for one that another read has begun. */
     private final Map<String, List<Attempt>> fetches = new HashMap<>();
+    /** Attempts at those machines that started during the run, and what was told of each. */
+    private final Map<String, List<Attempt>> atStarted = new HashMap<>();
+    private final Map<String, List<Told>> toldOf = new HashMap<>();
 
     private Rules(Ledger ledger, Experiment experiment) {
         this.ledger = ledger;
         this.experiment = experiment;
         this.fallMs = experiment.origin().fallS() * 1000;
+        ledger.started().forEach(s -> atStarted.put(s.machine(), new ArrayList<>()));
+        ledger.told().stream().filter(t -> atStarted.containsKey(t.machine()))
+                .forEach(t -> toldOf.computeIfAbsent(t.machine(), m -> new ArrayList<>()).add(t));
         for (Attempt a : ledger.attempts()) {
+            if (atStarted.containsKey(a.machine)) {
+                atStarted.get(a.machine).add(a);
+            }
             Try t = ledger.find(a.call);
             if (a.origin && t != null) {
                 fetches.computeIfAbsent(a.proxy + " " + t.key, k -> new ArrayList<>()).add(a);
@@ -198,6 +207,24 @@
         }
     }
 
+    /** What one proxy knows of one machine as its news comes in, in order. */
+    private static final class Knowledge {
+        private Told news;
+        private double unfitSince;
+        private double startedAt = Double.NEGATIVE_INFINITY;
+
+        void hear(Told told) {
+            // What is known of a later start stands against late news of an earlier end.
+            if (told.health() == Health.UP) {
+                news = told;
+                startedAt = Math.max(startedAt, told.startedAt());
+            } else if (told.startedAt() >= startedAt && (news == null || news.health() == Health.UP)) {
+                news = told;
+                unfitSince = told.at();
+            }
+        }
+    }
+
     private void drains() {
         List<Told> all = new ArrayList<>(ledger.told());
         for (Told change : ledger.changes()) {
@@ -206,26 +233,21 @@
             }
         }
         all.sort(Comparator.comparingDouble(Told::at));
-        for (Attempt a : ledger.attempts()) {
-            Told news = null;
-            double unfitSince = 0;
-            double startedAt = Double.NEGATIVE_INFINITY;
-            for (Told told : all) {
-                if (told.proxy() != a.proxy || !told.machine().equals(a.machine) || told.at() > a.firstByteAt) {
-                    continue;
-                }
-                // What is known of a later start stands against late news of an earlier end.
-                if (told.health() == Health.UP) {
-                    news = told;
-                    startedAt = Math.max(startedAt, told.startedAt());
-                } else if (told.startedAt() >= startedAt && (news == null || news.health() == Health.UP)) {
-                    news = told;
-                    unfitSince = told.at();
-                }
+        List<Attempt> sent = new ArrayList<>(ledger.attempts());
+        sent.sort(Comparator.comparingDouble(a -> a.firstByteAt));
+        List<Map<String, Knowledge>> known = new ArrayList<>();
+        for (int proxy = 0; proxy < experiment.proxies().count(); proxy++) {
+            known.add(new HashMap<>());
+        }
+        double limit = experiment.rules().drainMs() + experiment.rules().slackMs();
+        int heard = 0;
+        for (Attempt a : sent) {
+            for (; heard < all.size() && all.get(heard).at() <= a.firstByteAt; heard++) {
+                known.get(all.get(heard).proxy()).computeIfAbsent(all.get(heard).machine(), m -> new Knowledge()).hear(all.get(heard));
             }
-            double limit = experiment.rules().drainMs() + experiment.rules().slackMs();
-            if (news != null && news.health() != Health.UP && a.firstByteAt > unfitSince + limit) {
-                broken(Rule.DRAIN, a.call, a.firstByteAt, "sent to " + a.machine + " by proxy-" + a.proxy + ", told " + news.health() + " at " + ms(unfitSince));
+            Knowledge k = known.get(a.proxy).get(a.machine);
+            if (k != null && k.news.health() != Health.UP && a.firstByteAt > k.unfitSince + limit) {
+                broken(Rule.DRAIN, a.call, a.firstByteAt, "sent to " + a.machine + " by proxy-" + a.proxy + ", told " + k.news.health() + " at " + ms(k.unfitSince));
             }
         }
     }
@@ -235,7 +257,7 @@
         double window = experiment.rules().coldWindowMs();
         double multiple = experiment.rules().coldMultiple();
         Deque<Attempt> recent = new ArrayDeque<>();
-        List<Attempt> sent = ledger.attempts().stream().filter(a -> a.machine.equals(start.machine()) && a.lastByteAt >= start.at()
+        List<Attempt> sent = atStarted.get(start.machine()).stream().filter(a -> a.lastByteAt >= start.at()
                 && a.lastByteAt < start.at() + start.coldMs()).sorted(Comparator.comparingDouble(a -> a.lastByteAt)).toList();
         double largest = sent.stream().mapToDouble(a -> a.workMs).max().orElse(0);
         for (Attempt a : sent) {
@@ -256,8 +278,8 @@
     }
 
     private boolean knew(int proxy, Started start, double at) {
-        return at >= start.at() + TOLD_MS || ledger.told().stream().anyMatch(t -> t.proxy() == proxy && t.at() <= at
-                && t.machine().equals(start.machine()) && t.startedAt() == start.at());
+        return at >= start.at() + TOLD_MS || toldOf.getOrDefault(start.machine(), List.of()).stream().anyMatch(t -> t.proxy() == proxy
+                && t.at() <= at && t.startedAt() == start.at());
     }
 
     private void originStop(double at) {
--- a/src/main/java/hopglade/lab/report/Comparison.java
+++ b/src/main/java/hopglade/lab/report/Comparison.java
@@ -9,6 +9,7 @@
 import java.util.Locale;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Function;
 import java.util.stream.Stream;
 import org.apache.commons.math3.stat.descriptive.SummaryStatistics;
 
@@ -60,8 +61,13 @@
     }
 
     private static SummaryStatistics statistics(List<Results> runs, String name) {
+        return statistics(runs, r -> r.figures().get(name));
+    }
+
+    /** Of one figure over runs; a run that does not have it is left out. */
+    static SummaryStatistics statistics(List<Results> runs, Function<Results, Double> figure) {
         SummaryStatistics statistics = new SummaryStatistics();
-        runs.stream().map(r -> r.figures().get(name)).filter(v -> v != null && !v.isNaN()).forEach(statistics::addValue);
+        runs.stream().map(figure).filter(v -> v != null && !v.isNaN()).forEach(statistics::addValue);
         return statistics;
     }
 }
--- a/src/main/java/hopglade/lab/report/CurveReport.java
+++ b/src/main/java/hopglade/lab/report/CurveReport.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import org.apache.commons.math3.stat.descriptive.SummaryStatistics;
 import org.jfree.data.xy.XYSeries;
 import org.jfree.data.xy.XYSeriesCollection;
 
@@ -17,32 +18,42 @@
 
     private CurveReport() { }
 
-    /** A line a step: worth offered and served a second, by class, refusals and the highest level. */
-    public static String table(String key, List<Double> values, Map<String, List<Results>> series) {
+    /** A line a step: worth offered and served a second, by class, refusals and the highest level; means over a step's runs. */
+    public static String table(String key, List<Double> values, Map<String, List<List<Results>>> series) {
         StringBuilder table = new StringBuilder();
-        series.forEach((name, results) -> {
-            List<String> classes = results.get(0).figures().keySet().stream().filter(f -> f.matches("class\\..*\\.worth")).toList();
-            table.append(String.format("%s%n%12s %10s %10s %8s", name, key, "offered/s", "served/s", "served"));
+        series.forEach((name, steps) -> {
+            List<String> classes = steps.get(0).get(0).figures().keySet().stream().filter(f -> f.matches("class\\..*\\.worth")).toList();
+            boolean repeated = steps.get(0).size() > 1;
+            table.append(String.format("%s%n%12s %10s %18s %8s", name, key, "offered/s", repeated ? "served/s ± sd" : "served/s", "served"));
             classes.forEach(c -> table.append(String.format(" %12s", c.split("\\.")[1])));
-            table.append(String.format(" %8s %6s%n", "refused", "level"));
-            for (int i = 0; i < results.size(); i++) {
-                Map<String, Double> f = results.get(i).figures();
-                double offered = f.get("load.worth_per_s");
-                table.append(String.format(Locale.ROOT, "%12s %10.0f %10.0f %8.3f", Results.plain(values.get(i)), offered,
-                        offered * f.get("served.worth"), f.get("served.worth")));
-                classes.forEach(c -> table.append(String.format(Locale.ROOT, " %12.3f", f.get(c))));
-                table.append(String.format(Locale.ROOT, " %8.3f %6s%n", f.get("refused.share"), Results.plain(f.get("control.level_max"))));
+            table.append(String.format(" %8s %8s %6s%n", "refused", "attempts", "level"));
+            for (int i = 0; i < steps.size(); i++) {
+                List<Results> runs = steps.get(i);
+                SummaryStatistics served = Comparison.statistics(runs, CurveReport::servedPerS);
+                table.append(String.format(Locale.ROOT, "%12s %10.0f %18s %8.3f", Results.plain(values.get(i)), mean(runs, "load.worth_per_s"),
+                        String.format(Locale.ROOT, repeated ? "%.0f ± %.0f" : "%.0f", served.getMean(), served.getStandardDeviation()),
+                        mean(runs, "served.worth")));
+                classes.forEach(c -> table.append(String.format(Locale.ROOT, " %12.3f", mean(runs, c))));
+                table.append(String.format(Locale.ROOT, " %8.3f %8.2f %6s%n", mean(runs, "refused.share"), mean(runs, "attempts.per_request"),
+                        Results.plain(mean(runs, "control.level_max"))));
             }
         });
         return table.toString();
     }
 
-    public static void write(String name, String key, List<Double> values, Map<String, List<Results>> series, Path file) throws IOException {
+    private static double servedPerS(Results r) {
+        return r.figures().get("load.worth_per_s") * r.figures().get("served.worth");
+    }
+
+    private static double mean(List<Results> runs, String figure) {
+        return Comparison.statistics(runs, r -> r.figures().get(figure)).getMean();
+    }
+
+    public static void write(String name, String key, List<Double> values, Map<String, List<List<Results>>> series, Path file) throws IOException {
         XYSeriesCollection curve = new XYSeriesCollection();
-        series.forEach((label, results) -> {
+        series.forEach((label, steps) -> {
             XYSeries line = new XYSeries(label);
-            results.forEach(r -> line.add(r.figures().get("load.worth_per_s").doubleValue(),
-                    r.figures().get("load.worth_per_s") * r.figures().get("served.worth")));
+            steps.forEach(runs -> line.add(mean(runs, "load.worth_per_s"), Comparison.statistics(runs, CurveReport::servedPerS).getMean()));
             curve.addSeries(line);
         });
         StringBuilder page = new StringBuilder("<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><title>" + HtmlReport.safe(name)
--- a/src/main/java/hopglade/lab/report/Figures.java
+++ b/src/main/java/hopglade/lab/report/Figures.java
@@ -24,6 +24,8 @@
     private static final double MS_PER_S = 1000;
     private static final int WORST_S = 10;
     private static final int DIGITS = 3;
+    /** A key that was asked for so often and never served is starved. */
+    private static final int OFTEN = 10;
     /** Service counts as back when this part of what was usual before is served again for {@link #BACK_S} seconds. */
     private static final double BACK = 0.95;
     private static final int BACK_S = 2;
@@ -32,6 +34,8 @@
     private final Installation plan;
     private final List<Story> stories;
     private final Ledger ledger;
+    private final Map<String, Integer> zones = new HashMap<>();
+    private final Map<String, Double> sizes = new HashMap<>();
     private final Map<String, Double> figures = new TreeMap<>();
 
     private Figures(Experiment experiment, Installation plan, List<Story> stories, Ledger ledger) {
@@ -39,6 +43,9 @@
         this.plan = plan;
         this.stories = stories;
         this.ledger = ledger;
+        if (plan != null) {
+            plan.nodes().forEach(n -> zones.put(n.id(), n.zone()));
+        }
     }
 
     /** Every figure that both drivers have. */
@@ -82,6 +89,13 @@
         put("failed.share", share(stories.stream().filter(s -> !s.served() && !s.refused()).count(), stories.size()));
         put("failed.turned_away_share", share(ledger.tries().stream().filter(t -> t.fresh && t.replies.isEmpty() && t.attempts.isEmpty()
                 && t.lostAt < t.gaveUpAt).count(), stories.size()));
+        Map<Long, int[]> keys = new HashMap<>();
+        stories.forEach(s -> {
+            int[] counts = keys.computeIfAbsent(s.first().key(), k -> new int[2]);
+            counts[0]++;
+            counts[1] += s.served() ? 1 : 0;
+        });
+        put("served.starved_keys", keys.values().stream().filter(c -> c[0] >= OFTEN && c[1] == 0).count());
         put("load.requests", stories.size());
         put("load.rate", stories.size() / experiment.durationS());
         double capacity = plan.nodes().stream().mapToDouble(n -> n.machine().cores() * n.machine().speed()).sum() * MS_PER_S;
@@ -132,13 +146,19 @@
         lookUps.forEach(a -> byNode.merge(a.machine, 1.0, Double::sum));
         double mean = byNode.values().stream().mapToDouble(w -> w).average().orElse(0);
         put("routing.busiest_over_mean", share(byNode.values().stream().mapToDouble(w -> w).max().orElse(0), mean));
+        // Of a node's own capacity: machines differ, and a count would blame the large ones.
+        Map<String, Double> use = new HashMap<>();
+        plan.nodes().forEach(n -> use.put(n.id(), 0.0));
+        plan.nodes().forEach(n -> sizes.put(n.id(), n.machine().cores() * n.machine().speed()));
+        lookUps.forEach(a -> use.merge(a.machine, a.workMs / sizes.get(a.machine), Double::sum));
+        double usual = use.values().stream().mapToDouble(w -> w).average().orElse(0);
+        put("routing.busiest_use_over_mean", share(use.values().stream().mapToDouble(w -> w).max().orElse(0), usual));
         double wasted = all.stream().filter(a -> a.ran && a.closedAt < Double.POSITIVE_INFINITY).mapToDouble(a -> a.workMs).sum();
         put("attempts.abandoned_work_share", share(wasted, all.stream().mapToDouble(a -> a.workMs).sum()));
     }
 
     private boolean crosses(Attempt a) {
-        int zone = a.origin ? plan.origin().zone() : plan.nodes().stream().filter(n -> n.id().equals(a.machine)).findFirst().orElseThrow().zone();
-        return plan.proxyZones().get(a.proxy) != zone;
+        return plan.proxyZones().get(a.proxy) != (a.origin ? plan.origin().zone() : zones.get(a.machine));
     }
 
     private void timeline(List<Window> windows) {
--- a/src/main/java/hopglade/lab/sockets/SocketRun.java
+++ b/src/main/java/hopglade/lab/sockets/SocketRun.java
@@ -305,7 +305,7 @@
 
         private void agents(Consumer<Integer> act) {
             for (int i = 0; i < discoveries.size(); i++) {
-                if (fault.target().equals("*") || fault.target().equals("proxy-" + i)) {
+                if (fault.strikes("proxy-", i, discoveries.size())) {
                     act.accept(i);
                 }
             }
--- a/src/main/java/hopglade/lab/virtual/Agenda.java
+++ b/src/main/java/hopglade/lab/virtual/Agenda.java
@@ -1,14 +1,19 @@
 package hopglade.lab.virtual;
 
-import java.util.Comparator;
 import java.util.PriorityQueue;
 
 /** What happens next, in the order of time and then of asking. Time moves only here. */
 final class Agenda {
 
-    private record Item(double at, long order, Runnable act) { }
+    private record Item(double at, long order, Runnable act) implements Comparable<Item> {
 
-    private final PriorityQueue<Item> items = new PriorityQueue<>(Comparator.comparingDouble(Item::at).thenComparingLong(Item::order));
+        @Override
+        public int compareTo(Item other) {
+            return at < other.at ? -1 : at > other.at ? 1 : Long.compare(order, other.order);
+        }
+    }
+
+    private final PriorityQueue<Item> items = new PriorityQueue<>();
     private double now;
     private long asked;
 
--- a/src/main/java/hopglade/lab/virtual/VirtualProxy.java
+++ b/src/main/java/hopglade/lab/virtual/VirtualProxy.java
@@ -67,6 +67,8 @@
     private boolean telling;
     private boolean dead;
     private double stoppedUntil;
+    private int timers;
+    private int backstops;
 
     VirtualProxy(int index, Agenda agenda, Settings settings, Router router, Network network) {
         this.index = index;
@@ -118,6 +120,20 @@
         return calls.size();
     }
 
+    /** What its router keeps for requests, and timers of the router's that are still to come. */
+    int entries() {
+        return router.entries();
+    }
+
+    /** Requests that the proxy had to answer in its router's place. */
+    int backstops() {
+        return backstops;
+    }
+
+    int timers() {
+        return timers;
+    }
+
     void nodes(ListKind kind, long version, List<Node> entries) {
         tell(() -> router.nodes(agenda.now(), kind, version, entries, this));
     }
@@ -196,6 +212,7 @@
             return;
         }
         if (!call.over && !dead) {
+            backstops++;
             if (call.out >= 0) {
                 cancelNow(call);
             }
@@ -286,7 +303,13 @@
 
     @Override
     public void timer(double atMs, String token) {
-        wishes.add(() -> agenda.at(atMs, () -> tell(() -> router.timer(agenda.now(), token, this))));
+        wishes.add(() -> {
+            timers++;
+            agenda.at(atMs, () -> {
+                timers--;
+                tell(() -> router.timer(agenda.now(), token, this));
+            });
+        });
     }
 
     @Override
--- a/src/main/java/hopglade/lab/virtual/VirtualRun.java
+++ b/src/main/java/hopglade/lab/virtual/VirtualRun.java
@@ -1,11 +1,13 @@
 package hopglade.lab.virtual;
 
 import hopglade.Decide;
+import hopglade.Router;
 import hopglade.Router.Availability;
 import hopglade.Router.ListKind;
 import hopglade.Router.Node;
 import hopglade.Router.Outcome;
 import hopglade.Router.Request;
+import hopglade.Router.Settings;
 import hopglade.lab.Draw;
 import hopglade.lab.Experiment;
 import hopglade.lab.Oracle;
@@ -59,7 +61,14 @@
     private static final int NOT_FOUND = 404;
     private static final int OK = 200;
 
+    /** Makes the router of a proxy that starts. */
+    @FunctionalInterface
+    public interface Maker {
+        Router make(Settings settings, long seed);
+    }
+
     private final Experiment experiment;
+    private final Maker maker;
     private final Installation plan;
     private final Habits habits;
     private final LoadPlan load;
@@ -109,7 +118,13 @@
     }
 
     public VirtualRun(Experiment experiment) {
+        this(experiment, Decide::new);
+    }
+
+    /** With another router than the module, to compare them or to show what the ledger catches. */
+    public VirtualRun(Experiment experiment, Maker maker) {
         this.experiment = experiment;
+        this.maker = maker;
         this.plan = Draw.installation(experiment);
         this.habits = new Habits(experiment);
         this.load = LoadPlan.of(experiment);
@@ -230,7 +245,7 @@
     private VirtualProxy born(int index) {
         var settings = ProxySettings.read(experiment, plan, index, IDLE_MS, CONNECT_MS);
         long seed = experiment.seed() * 31 + index * 7919L + lives++;
-        VirtualProxy proxy = new VirtualProxy(index, agenda, settings, new Decide(settings, seed), new Wires());
+        VirtualProxy proxy = new VirtualProxy(index, agenda, settings, maker.make(settings, seed), new Wires());
         proxy.start(lists.get(index).values().stream().filter(e -> e.health() != Health.REMOVED).map(this::node).toList());
         return proxy;
     }
@@ -272,6 +287,10 @@
         proxy.request(new Request(id, type.name(), null, PathKey.of(Habits.path(first.key())), first.hintMs(), budget, type.write(),
                 tries > 1 && experiment.load().marksRetries()), (status, retryAfterMs, made) -> {
                     entry.replies.add(new Reply(agenda.now(), status, retryAfterMs, made));
+                    asked.remove(id);
+                    if (status != OK) {
+                        world.abandoned(id);
+                    }
                     if (!done[0]) {
                         done[0] = true;
                         over(first, tries, Habits.ending(status), status, retryAfterMs);
@@ -473,7 +492,7 @@
 
     private void each(Fault fault, java.util.function.IntConsumer act) {
         for (int i = 0; i < proxies.size(); i++) {
-            if (fault.target().equals("*") || fault.target().equals("proxy-" + i)) {
+            if (fault.strikes("proxy-", i, proxies.size())) {
                 act.accept(i);
             }
         }
@@ -481,6 +500,10 @@
 
     private void kill(int index, Fault fault) {
         VirtualProxy old = proxies.get(index);
+        if (old.dead()) {
+            // It is on its way back already; a second start would take the place of the first.
+            return;
+        }
         if (old.owed() > 0) {
             ledger.excuse(new Ledger.Excuse(index, agenda.now(), agenda.now(), "it ended"));
         }
@@ -514,6 +537,9 @@
         List<Results.Window> timeline = Figures.windows(experiment, told, levels);
         Map<String, Double> figures = Figures.of(experiment, plan, told, ledger, violations, timeline);
         figures.put("proxy.table_max", (double) largestTable);
+        figures.put("proxy.entries_left", proxies.stream().filter(p -> !p.dead()).mapToDouble(VirtualProxy::entries).max().orElse(0));
+        figures.put("proxy.backstops", proxies.stream().mapToDouble(VirtualProxy::backstops).sum());
+        figures.put("proxy.timers_left", proxies.stream().filter(p -> !p.dead()).mapToDouble(VirtualProxy::timers).max().orElse(0));
         figures.put("machines.connections_opened", (double) connections);
         marks.sort(Comparator.comparingDouble(Mark::atS));
         return new Results(Results.FORM, experiment.name(), experiment.about(), "virtual", experiment.seed(), load.digest(), figures, timeline,
--- a/src/main/java/hopglade/lab/world/Machine.java
+++ b/src/main/java/hopglade/lab/world/Machine.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.Deque;
 import java.util.List;
 import java.util.PriorityQueue;
@@ -29,13 +28,18 @@
     /** A piece of work that is done. */
     record Done(long job, double atMs) { }
 
-    private record Running(long job, double until) { }
+    private record Running(long job, double until) implements Comparable<Running> {
+
+        @Override
+        public int compareTo(Running other) {
+            return until < other.until ? -1 : until > other.until ? 1 : Long.compare(job, other.job);
+        }
+    }
 
     private record Waiting(long job, double workMs) { }
 
     private final Make make;
-    private final PriorityQueue<Running> running = new PriorityQueue<>(
-            Comparator.comparingDouble(Running::until).thenComparingLong(Running::job));
+    private final PriorityQueue<Running> running = new PriorityQueue<>();
     private final Deque<Waiting> waiting = new ArrayDeque<>();
     private double at;
     /** Work that each request in a slot has had so far, were it there from the beginning. */
--- a/src/main/java/hopglade/lab/world/Strikes.java
+++ b/src/main/java/hopglade/lab/world/Strikes.java
@@ -3,6 +3,7 @@
 import hopglade.lab.faults.Fault;
 import hopglade.lab.ledger.Ledger;
 import java.util.List;
+import java.util.stream.IntStream;
 
 /** Carries out those faults that strike machines and the list; both drivers call it, each for its own clock. */
 public final class Strikes {
@@ -23,7 +24,11 @@
 
     /** The nodes that a fault strikes. */
     public List<String> targets(Fault fault) {
-        return fault.target().equals("*") ? plan.nodes().stream().map(Installation.NodeMake::id).toList() : List.of(fault.target());
+        if (fault.target().equals(plan.origin().id())) {
+            return List.of(fault.target());
+        }
+        List<String> ids = plan.nodes().stream().map(Installation.NodeMake::id).toList();
+        return IntStream.range(0, ids.size()).filter(i -> fault.strikes("node-", i, ids.size())).mapToObj(ids::get).toList();
     }
 
     /** Begins a fault; returns false where it is the driver's own. */
--- a/src/main/java/hopglade/lab/world/World.java
+++ b/src/main/java/hopglade/lab/world/World.java
@@ -64,7 +64,13 @@
     private record Arrival(double at, double workMs) { }
 
     /** A machine has something to say at a time, unless it has been stamped anew; {@code order} settles ties. */
-    private record Wake(double at, long order, Unit unit, long stamp) { }
+    private record Wake(double at, long order, Unit unit, long stamp) implements Comparable<Wake> {
+
+        @Override
+        public int compareTo(Wake other) {
+            return at < other.at ? -1 : at > other.at ? 1 : Long.compare(order, other.order);
+        }
+    }
 
     private record Due(int proxy, News news) { }
 
@@ -80,7 +86,7 @@
     private final Map<String, List<String>> missedAt = new HashMap<>();
     private final Map<Long, Long> versions = new HashMap<>();
     private final List<Deque<News>> news = new ArrayList<>();
-    private final PriorityQueue<Wake> due = new PriorityQueue<>(Comparator.comparingDouble(Wake::at).thenComparingLong(Wake::order));
+    private final PriorityQueue<Wake> due = new PriorityQueue<>();
     private final PriorityQueue<Due> told = new PriorityQueue<>(Comparator.comparingDouble((Due d) -> d.news().at())
             .thenComparingLong(d -> d.news().version()).thenComparingInt(Due::proxy));
     private long wakes;
