Spread hot keys over as many nodes as a large fleet needs; scale experiments

Change: keys are counted in a memory that grows with the fleet (four requests a node), and a hot key may be spread over a part of the caches however few the balancers are. Below 17 nodes nothing changes. The time that a fetch takes, which decides on late fetches, fades each interval.

--- a/src/main/java/hopglade/Decide.java
+++ b/src/main/java/hopglade/Decide.java
@@ -38,6 +38,8 @@
     /** Usual times of a fetch that a request must have left for one, and the part that goes with less. */
     static final double TIME_TO_FETCH = 2;
     static final double TRIED_ANYWAY = 0.05;
+    /** What an interval leaves of the usual time of a fetch, before its own answers count. */
+    static final double FETCH_FADE = 0.7;
     /** Tokens the bank holds: a few, so that a pause buys no burst. */
     static final double BANK = 4;
     /** What is left of the base after an interval at level 0 that did not reach it. */
@@ -120,6 +122,14 @@
     /** Keys of the latest requests, ours or told by peers, that are remembered, to tell a hot key. */
     static final int LATELY = 64;
     static final int LATELY_TOLD = 256;
+    /**
+     * In a large fleet so many keys a node are remembered, as there a smaller share is hot: in a thousand
+     * nodes a key with a hundredth of all requests needs ten. The more nodes, the more pairs a key that came
+     * again by luck would be given; a longer memory is what tells luck.
+     */
+    static final int LATELY_A_NODE = 4;
+    /** One in so many caches is what a hot key may be spread over, however few the balancers. */
+    static final double OWN_LOAD = 4;
     /** How many peers hear of a request's key on average: a sample of all requests, at a bounded price. */
     static final double HEARD_BY = 24;
     /** Keys told at once, as each message has a price of its own. */
@@ -163,7 +173,7 @@
     private List<NodeView> caches = List.of();
     /** Of {@link #caches}, in their order, side by side: a pick reads all of them. */
     private long[] hashes = {};
-    private double mostWeight;
+    private double[] mostShares = {};
     private NodeView origin;
     private List<Held> room = new ArrayList<>();
     private double intervalEnd;
@@ -171,7 +181,9 @@
     private double meanWork;
     /** Running mean of 1 / aim over requests: the usual aim is harmonic, as short aims suffer first. */
     private double urgency;
-    private final int[] lately;
+    private int[] lately;
+    /** How often each key stands among {@link #lately}. */
+    private final Map<Integer, Integer> oftenLately = new HashMap<>();
     private final boolean peers;
     /**
      * Whether a connection from each balancer would cost a node more than opening one for each request: gaps
@@ -193,7 +205,7 @@
     private double usualBreaks;
     /** The same of answers that are errors or make no sense. */
     private double usualErrors;
-    private double lost;
+    private double lost, fetchMs;
     private boolean subscribed;
     private int seen, refusedCalls;
 
@@ -329,6 +341,7 @@
             afterLookUp(now, r, node, end.outcome(), out);
         }
         if (fetched && end.outcome() == Outcome.OK) {
+            fetchMs += SMOOTH * (Math.max(0, end.elapsedMs()) - fetchMs);
             missing.remove(r.in.key());
         }
         release(now, waiting, end.outcome() == Outcome.OK, out);
@@ -391,7 +404,12 @@
     /** Takes in told keys; a message that is no whole number of keys loses its rest. */
     private void learn(ByteBuffer keys) {
         for (keys.rewind(); keys.remaining() >= Integer.BYTES;) {
-            lately[seen++ % lately.length] = keys.getInt();
+            int place = seen++ % lately.length;
+            if (seen > lately.length) {
+                oftenLately.computeIfPresent(lately[place], (k, n) -> n > 1 ? n - 1 : null);
+            }
+            lately[place] = keys.getInt();
+            oftenLately.merge(lately[place], 1, Integer::sum);
         }
         keys.rewind();
     }
@@ -491,10 +509,11 @@
     /**
      * Whether a fetch would most likely end after its client has gone. Retries come with little time left;
      * in a jam their fetches fill the origin's queue and nobody reads the answers. A few are tried all the
-     * same, as only answers tell that the jam has passed. Could harm where the origin's times spread widely.
+     * same, and what is remembered of a jam fades, as answers alone tell that it has passed. Could harm
+     * where the origin's times spread widely.
      */
     private boolean wouldBeLate(double now, Held r) {
-        return r.draw >= TRIED_ANYWAY && r.guard - now < TIME_TO_FETCH * origin.usualMs;
+        return r.draw >= TRIED_ANYWAY && r.guard - now < TIME_TO_FETCH * fetchMs;
     }
 
     private boolean draw(double now, Held r) {
@@ -560,8 +579,8 @@
         long place = mix(r.place);
         for (int i = 0; i < hashes.length; i++) {
             double u = unit(hashes[i] ^ place);
-            // As ln(u) <= u - 1: what even the heaviest node could not win with needs no logarithm.
-            if (mostWeight <= secondScore * (1 - u)) {
+            // As ln(u) <= u - 1: what could not win with its whole share needs no logarithm.
+            if (mostShares[i] <= secondScore * (1 - u)) {
                 continue;
             }
             NodeView n = caches.get(i);
@@ -592,10 +611,7 @@
     private void heat(Held r, Actions out) {
         int key = (int) mix(r.in.key());
         int known = Math.min(seen, lately.length);
-        int same = 0;
-        for (int i = 0; i < known; i++) {
-            same += lately[i] == key ? 1 : 0;
-        }
+        int same = oftenLately.getOrDefault(key, 0);
         news.putInt(key);
         if (!peers) {
             learn(news);
@@ -609,7 +625,8 @@
         r.heat = Math.max(same, UNSEEN) / Math.max(known, 1);
         if (same > 0 && r.in.key() >= 0) {
             double share = same / Math.max(known, LATELY / 2.0);
-            double most = HOT_SPREAD * Math.min(caches.size(), settings.proxies());
+            double spread = Math.max(settings.proxies(), caches.size() / OWN_LOAD);
+            double most = HOT_SPREAD * Math.min(caches.size(), spread);
             r.variants = 1 + (int) Math.min(caches.size() / 2.0, share * most);
             int variant = (int) (unit(r.place ^ Double.doubleToLongBits(r.draw)) * r.variants);
             r.place = variant == 0 ? r.place : mix(r.place + variant);
@@ -683,6 +700,7 @@
             return;
         }
         countOverdue(now);
+        fetchMs *= FETCH_FADE;
         control.floor = BASE_FLOOR * Math.min(1, caches.size() / (double) settings.proxies());
         usualBreaks = median(caches.stream().mapToDouble(n -> n.broken).sorted().toArray());
         usualErrors = median(caches.stream().mapToDouble(n -> n.errors).sorted().toArray());
@@ -738,7 +756,7 @@
             double target = Math.min(MODEL_SPAN, Math.max(1 / MODEL_SPAN, all * sum[1] / sum[0]));
             n.weight += SMOOTH * (target - n.weight);
         }
-        weighHeaviest();
+        noteShares();
     }
 
     /** Class gain, by work where value is, cut for what a tenant sends beyond its quota. */
@@ -768,16 +786,25 @@
         }
         list.sort(Comparator.comparing(n -> n.entry.id()));
         caches = list;
+        remember(LATELY_A_NODE * list.size());
         hashes = list.stream().mapToLong(n -> n.hash).toArray();
         if (settings.weights() == Weights.SIZE) {
             takeSizes();
         }
-        weighHeaviest();
+        noteShares();
+    }
+
+    private void remember(int keys) {
+        if (keys > lately.length) {
+            lately = new int[keys];
+            oftenLately.clear();
+            seen = 0;
+        }
     }
 
-    private void weighHeaviest() {
-        double heaviest = caches.stream().mapToDouble(n -> n.weight).max().orElse(0);
-        mostWeight = Math.max(1, settings.rules().coldFrom()) * heaviest;
+    private void noteShares() {
+        double most = Math.max(1, settings.rules().coldFrom());
+        mostShares = caches.stream().mapToDouble(n -> most * n.weight).toArray();
     }
 
     /** Listed sizes, kept within a span of their median, so that an absurd one shuts no node out. */
--- a/src/main/java/hopglade/lab/ExperimentFile.java
+++ b/src/main/java/hopglade/lab/ExperimentFile.java
@@ -15,6 +15,9 @@
 
     private static final double DAY_S = 86_400;
     private static final Pattern PART = Pattern.compile("[1-9]\\d?%");
+    /** What an origin takes at once and lets wait, by its cores, where a file does not say: as the smallest has with four. */
+    private static final int SLOTS_A_CORE = 16;
+    private static final int ROOM_A_CORE = 50;
     private static final double MOST_RATE = 200_000;
     private static final double MOST_MS = 600_000;
     private static final Pattern FIGURE = Pattern.compile("[a-z0-9_]+(\\.[A-Za-z0-9_-]+)+");
@@ -97,9 +100,10 @@
     }
 
     private static Experiment.Origin origin(Toml.Table t) throws BadFileException {
-        Experiment.Origin origin = new Experiment.Origin(t.whole("cores", 4, 1, 4096), t.number("speed", 1, 0.01, 100),
-                t.whole("slots", 64, 1, 100_000), t.whole("room", 200, 0, 1_000_000), t.number("fetch_share", 0.6, 0.01, 100),
-                t.number("write_times", 1.5, 0.1, 100), t.number("fall_multiple", 2.5, 0, 1000),
+        int cores = t.whole("cores", 4, 1, 4096);
+        Experiment.Origin origin = new Experiment.Origin(cores, t.number("speed", 1, 0.01, 100),
+                t.whole("slots", Math.max(64, SLOTS_A_CORE * cores), 1, 100_000), t.whole("room", Math.max(200, ROOM_A_CORE * cores), 0, 1_000_000),
+                t.number("fetch_share", 0.6, 0.01, 100), t.number("write_times", 1.5, 0.1, 100), t.number("fall_multiple", 2.5, 0, 1000),
                 t.number("fall_s", 3, 0.1, 600), t.range("down_s", new double[] {3, 6}, 0, 600));
         t.done();
         return origin;
--- a/src/main/java/hopglade/lab/virtual/Agenda.java
+++ b/src/main/java/hopglade/lab/virtual/Agenda.java
@@ -1,5 +1,9 @@
 package hopglade.lab.virtual;
 
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.PriorityQueue;
 
 /** What happens next, in the order of time and then of asking. Time moves only here. */
@@ -13,7 +17,13 @@
         }
     }
 
-    private final PriorityQueue<Item> items = new PriorityQueue<>();
+    /** Most of what is asked for is a time-out far ahead; a heap of all of it would not fit a processor's cache. */
+    private static final double BUCKET_MS = 4;
+
+    private final PriorityQueue<Item> near = new PriorityQueue<>();
+    private final Map<Long, List<Item>> far = new HashMap<>();
+    private final PriorityQueue<Long> buckets = new PriorityQueue<>();
+    private long nearest = -1;
     private double now;
     private long asked;
 
@@ -23,7 +33,16 @@
 
     /** Does something at a time, or now if that has passed. */
     void at(double time, Runnable act) {
-        items.add(new Item(Math.max(now, time), asked++, act));
+        Item item = new Item(Math.max(now, time), asked++, act);
+        long bucket = (long) (item.at() / BUCKET_MS);
+        if (bucket <= nearest) {
+            near.add(item);
+        } else {
+            far.computeIfAbsent(bucket, b -> {
+                buckets.add(b);
+                return new ArrayList<>();
+            }).add(item);
+        }
     }
 
     void in(double ms, Runnable act) {
@@ -32,7 +51,15 @@
 
     /** When the next item is due; infinite when there is none. */
     double nextAt() {
-        return items.isEmpty() ? Double.POSITIVE_INFINITY : items.peek().at();
+        refill();
+        return near.isEmpty() ? Double.POSITIVE_INFINITY : near.peek().at();
+    }
+
+    private void refill() {
+        if (near.isEmpty() && !buckets.isEmpty()) {
+            nearest = buckets.remove();
+            near.addAll(far.remove(nearest));
+        }
     }
 
     /** Moves time on; never back. */
@@ -42,7 +69,8 @@
 
     /** Does the next item. */
     void step() {
-        Item next = items.remove();
+        refill();
+        Item next = near.remove();
         moveTo(next.at());
         next.act().run();
     }
--- a/src/main/java/hopglade/lab/virtual/VirtualRun.java
+++ b/src/main/java/hopglade/lab/virtual/VirtualRun.java
@@ -39,6 +39,7 @@
 import hopglade.proxy.PathKey;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
@@ -82,8 +83,11 @@
     private final List<Map<String, Entry>> lists = new ArrayList<>();
     private final Front front;
     private final Map<Long, Out> out = new HashMap<>();
-    private final Map<String, Out> byAttempt = new HashMap<>();
-    private final Map<String, Deque<Double>> idle = new HashMap<>();
+    /** The attempt that is out for a try; a try goes to one proxy, and that has one attempt out at a time. */
+    private final Map<String, Out> byTry = new HashMap<>();
+    /** When each idle connection was used last, for a machine's name, by proxy. */
+    private final Map<String, List<Deque<Double>>> idle = new HashMap<>();
+    private final Map<String, Integer> zones = new HashMap<>();
     private final Map<String, Double> resetShare = new HashMap<>();
     private final Map<String, Double> silentUntil = new HashMap<>();
     private final Map<String, First> asked = new HashMap<>();
@@ -135,6 +139,8 @@
         this.front = new Front(plan.proxyZones());
         this.cutUntil = new double[plan.zones().size()];
         this.levels = new int[(int) Math.ceil(experiment.durationS())];
+        plan.nodes().forEach(n -> zones.put(n.id(), n.zone()));
+        zones.put(plan.origin().id(), plan.origin().zone());
         this.stories = new Story[load.firsts().size()];
     }
 
@@ -164,7 +170,7 @@
                 drop(o);
                 agenda.in(o.delayMs, () -> end(o, Outcome.RESET, 0, 0));
             }
-            idle.keySet().removeIf(k -> k.endsWith(" " + machine));
+            idle.remove(machine);
         }
 
         @Override
@@ -310,8 +316,15 @@
     // The network between proxies and machines.
 
     private int zone(String machine) {
-        return machine.equals(plan.origin().id()) ? plan.origin().zone()
-                : plan.nodes().get(Integer.parseInt(machine.substring("node-".length()))).zone();
+        return zones.get(machine);
+    }
+
+    private Deque<Double> idle(VirtualProxy proxy, String machine) {
+        List<Deque<Double>> ofMachine = idle.computeIfAbsent(machine, m -> new ArrayList<>(Collections.nCopies(proxies.size(), null)));
+        if (ofMachine.get(proxy.index) == null) {
+            ofMachine.set(proxy.index, new ArrayDeque<>());
+        }
+        return ofMachine.get(proxy.index);
     }
 
     private boolean silent(int proxy, String machine) {
@@ -325,7 +338,7 @@
         @Override
         public void send(VirtualProxy from, String request, int number, String node, double waitMs) {
             double delay = plan.delayMs(from.index, zone(node));
-            Deque<Double> kept = idle.computeIfAbsent(from.index + " " + node, k -> new ArrayDeque<>());
+            Deque<Double> kept = idle(from, node);
             while (!kept.isEmpty() && kept.peekFirst() < agenda.now() - IDLE_MS) {
                 kept.removeFirst();
             }
@@ -360,7 +373,7 @@
             attempt.atColdNode = !origin && world.cold(node, agenda.now());
             ledger.attempt(attempt);
             Out o = new Out(from, request, number, node, attempt, delay);
-            byAttempt.put(key(from, request, number), o);
+            byTry.put(request, o);
             if (silent) {
                 // It never arrives, which its proxy cannot know.
                 return;
@@ -375,20 +388,16 @@
 
         @Override
         public void abandon(VirtualProxy from, String request, int number) {
-            Out o = byAttempt.get(key(from, request, number));
-            if (o != null) {
+            Out o = byTry.get(request);
+            if (o != null && o.number == number) {
                 o.attempt.closedAt = agenda.now();
                 o.over = true;
-                byAttempt.remove(key(from, request, number));
+                byTry.remove(request);
                 world.abandoned(request);
             }
         }
     }
 
-    private static String key(VirtualProxy proxy, String request, int number) {
-        return proxy.index + " " + request + " " + number;
-    }
-
     private void drop(Out o) {
         out.remove(o.attempt.number);
     }
@@ -396,7 +405,7 @@
     private void end(Out o, Outcome outcome, int note, long made) {
         if (!o.over) {
             o.over = true;
-            byAttempt.remove(key(o.proxy, o.request, o.number));
+            byTry.remove(o.request, o);
             o.attempt.closedAt = Math.min(o.attempt.closedAt, outcome == Outcome.RESET || outcome == Outcome.ERROR ? agenda.now() : Double.POSITIVE_INFINITY);
             o.proxy.ended(o.request, o.number, outcome, note, made);
         }
@@ -427,7 +436,7 @@
             }
             if (answer.manner() == World.Manner.WHOLE) {
                 o.attempt.answeredAt = agenda.now();
-                idle.computeIfAbsent(o.proxy.index + " " + o.node, k -> new ArrayDeque<>()).addLast(agenda.now());
+                idle(o.proxy, o.node).addLast(agenda.now());
             } else {
                 o.attempt.closedAt = agenda.now();
             }
--- a/src/main/java/hopglade/lab/world/World.java
+++ b/src/main/java/hopglade/lab/world/World.java
@@ -85,6 +85,8 @@
     private final Map<Long, Open> open = new HashMap<>();
     private final Map<String, List<String>> missedAt = new HashMap<>();
     private final Map<Long, Long> versions = new HashMap<>();
+    /** Nodes that may hold a key, so that a write need not ask every node. */
+    private final Map<Long, List<Unit>> holdersOf = new HashMap<>();
     private final List<Deque<News>> news = new ArrayList<>();
     private final PriorityQueue<Wake> due = new PriorityQueue<>();
     private final PriorityQueue<Due> told = new PriorityQueue<>(Comparator.comparingDouble((Due d) -> d.news().at())
@@ -199,7 +201,15 @@
 
     /** Fills each node with what it would have been asked for lately: the keys of these ranks at these nodes. */
     public void keep(String node, long key, double voidAt) {
-        units.get(node).store.put(key, new Store.Copy(bytes(key), versionOf(key), voidAt));
+        store(units.get(node), key, new Store.Copy(bytes(key), versionOf(key), voidAt));
+    }
+
+    private void store(Unit unit, long key, Store.Copy copy) {
+        unit.store.put(key, copy);
+        List<Unit> holders = holdersOf.computeIfAbsent(key, k -> new ArrayList<>(2));
+        if (!holders.contains(unit)) {
+            holders.add(unit);
+        }
     }
 
     private long versionOf(long key) {
@@ -332,7 +342,8 @@
         } else if (unit.origin()) {
             long made = job.write() ? versions.merge(job.key(), 1L, Long::sum) : versionOf(job.key());
             if (job.write()) {
-                units.values().stream().filter(u -> !u.origin()).forEach(u -> u.store.drop(job.key()));
+                List<Unit> holders = holdersOf.remove(job.key());
+                (holders == null ? List.<Unit>of() : holders).forEach(u -> u.store.drop(job.key()));
             } else {
                 keepWhereMissed(now, job, made);
             }
@@ -367,7 +378,7 @@
         for (String node : missed.subList(0, Math.min(2, missed.size()))) {
             Unit unit = units.get(node);
             if (unit.alive) {
-                unit.store.put(job.key(), new Store.Copy(bytes(job.key()), made, now + plan.storing().ttlMs()));
+                store(unit, job.key(), new Store.Copy(bytes(job.key()), made, now + plan.storing().ttlMs()));
             }
         }
     }
--- a/src/test/java/hopglade/AdmissionTest.java
+++ b/src/test/java/hopglade/AdmissionTest.java
@@ -221,4 +221,39 @@
         }
         assertTrue(fetched[1] > 2 * fetched[0], fetched[0] + " past the quota, " + fetched[1] + " within");
     }
+
+    /** Asks for a key that no cache has, with so much time left, and returns how many attempts went to the origin. */
+    private static long fetched(Bench b, String id, double budgetMs) {
+        b.router.request(b.now, new Router.Request(id, "dear", null, id.hashCode(), 0, budgetMs, false, false), b.out);
+        for (int i = 0; i < 2 && !b.nodeOf(id).equals("db"); i++) {
+            b.end(id, Outcome.MISS, 1);
+        }
+        return b.out.sent.stream().filter(s -> s.request().equals(id) && s.node().equals("db")).count();
+    }
+
+    @Test
+    void aFetchThatWouldEndAfterItsClientHasGoneIsRefusedAtOnceButForAFew() {
+        Bench b = Bench.withCaches(4);
+        for (int i = 0; i < 40; i++) {
+            assertEquals(1, fetched(b, "usual" + i, Bench.BUDGET));
+            b.end("usual" + i, Outcome.OK, 280);
+            b.advance(20);
+        }
+        long late = 0;
+        long inTime = 0;
+        for (int i = 0; i < 200; i++) {
+            long before = b.out.refused.size();
+            long sent = fetched(b, "late" + i, 300);
+            assertEquals(1, sent + b.out.refused.size() - before, "neither sent nor refused at once");
+            late += sent;
+            if (sent > 0) {
+                b.end("late" + i, Outcome.CANCELLED, 20);
+            }
+            inTime += fetched(b, "in-time" + i, Bench.BUDGET);
+            b.end("in-time" + i, Outcome.OK, 280);
+            b.advance(20);
+        }
+        assertEquals(200, inTime);
+        assertTrue(late > 0 && late < 30, late + " of 200 went all the same");
+    }
 }
--- a/src/test/java/hopglade/config/MistakesTest.java
+++ b/src/test/java/hopglade/config/MistakesTest.java
@@ -65,10 +65,10 @@
             name = "x";[[fault]];at_s = 1                       | fault[0].what: found nothing, allowed is one of node-kill
             name = "x";[[fault]];what = "node-kil";at_s = 1     | (nearest: node-kill)
             name = "x";[[fault]];what = "node-kill";node = "*"  | fault[0].at_s: found nothing
-            name = "x";[[fault]];what = "node-kill";node = "node-99";at_s = 1 | f:4: fault[0].node: found "node-99", allowed is *, origin, node-0 to node-8
+            name = "x";[[fault]];what = "node-kill";node = "node-99";at_s = 1 | f:4: fault[0].node: found "node-99", allowed is *, 1% to 99%, origin, node-0 to node-8
             name = "x";[[fault]];what = "node-kill";node = "*";at_s = 1;for_s = 2 | f:6: fault[0].for_s: unknown key
             name = "x";[[fault]];what = "zone-cut";zone = "mars";at_s = 1;for_s = 2 | f:4: fault[0].zone: found "mars", allowed is one of bogota-1
-            name = "x";[[fault]];what = "proxy-kill";proxy = "proxy-3";for_s = 1;at_s = 1 | f:4: fault[0].proxy: found "proxy-3", allowed is *, proxy-0 to proxy-2
+            name = "x";[[fault]];what = "proxy-kill";proxy = "proxy-3";for_s = 1;at_s = 1 | f:4: fault[0].proxy: found "proxy-3", allowed is *, 1% to 99%, proxy-0 to proxy-2
             name = "x";[[fault]];what = "origin-stall";at_s = 1 | fault[0].for_s: found nothing, allowed is a value, as origin-stall needs it
             name = "x";[[fault]];what = "origin-stall";at_s = 99;for_s = 1 | f:4: fault[0].at_s: found 99
             name = "x";[[expect]];figure = "worth";min = 1      | f:3: expect[0].figure: found "worth"
