--- a/src/test/java/hopglade/proxy/OutcomeTest.java
+++ b/src/test/java/hopglade/proxy/OutcomeTest.java
@@ -7,6 +7,8 @@
 
 import hopglade.Router.AttemptEnd;
 import hopglade.Router.Outcome;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.util.HashSet;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
@@ -62,9 +64,15 @@
 
     @Test
     void aRefusedConnectionNeverRan() throws Exception {
+        InetSocketAddress address = site.node.address();
         site.node.close();
-        client.write(site.get(Site.LONG_S));
-        assertEquals(Outcome.CONNECT_FAILED, Scripted.next(site.router.ends).outcome());
+        // Bound and not listening: the port refuses, and no other program can take it.
+        try (Socket held = new Socket()) {
+            held.setReuseAddress(true);
+            held.bind(address);
+            client.write(site.get(Site.LONG_S));
+            assertEquals(Outcome.CONNECT_FAILED, Scripted.next(site.router.ends).outcome());
+        }
     }
 
     @Test
