Join the drivers' judging, verdicts, lists and dialling; count keys beyond an int

Need: read as a whole, the laboratory said some things twice, and the module's memory of keys counted in an int.

Change: Played judges a run for both drivers; Verdict.of says what an answer means; ProxySettings.node and Installation.machineZones serve both drivers, the oracle and the figures; QuietActions holds the empty actions; the clients dial in one place; the world tells of an origin's stop by an event of its own, where both drivers read the beginning of a note. Decide counts the keys it has heard in a long: an int would have run over after two thousand million keys, and its remainder is no place in an array.

The rehearsal's connections now have the second's time-out that the clients' own have.

--- a/src/main/java/hopglade/Decide.java
+++ b/src/main/java/hopglade/Decide.java
@@ -207,7 +207,9 @@
     private double usualErrors;
     private double lost, fetchMs;
     private boolean subscribed;
-    private int seen, refusedCalls;
+    /** Keys taken in so far: a busy balancer hears more of them in its life than an int can count. */
+    private long seen;
+    private int refusedCalls;
 
     public Decide(Settings settings, long seed) {
         this.settings = settings;
@@ -404,7 +406,7 @@
     /** Takes in told keys; a message that is no whole number of keys loses its rest. */
     private void learn(ByteBuffer keys) {
         for (keys.rewind(); keys.remaining() >= Integer.BYTES;) {
-            int place = seen++ % lately.length;
+            int place = (int) (seen++ % lately.length);
             if (seen > lately.length) {
                 oftenLately.computeIfPresent(lately[place], (k, n) -> n > 1 ? n - 1 : null);
             }
@@ -610,7 +612,7 @@
      */
     private void heat(Held r, Actions out) {
         int key = (int) mix(r.in.key());
-        int known = Math.min(seen, lately.length);
+        int known = (int) Math.min(seen, lately.length);
         int same = oftenLately.getOrDefault(key, 0);
         news.putInt(key);
         if (!peers) {
--- a/src/main/java/hopglade/cli/LabCommands.java
+++ b/src/main/java/hopglade/cli/LabCommands.java
@@ -1,6 +1,7 @@
 package hopglade.cli;
 
 import hopglade.config.BadFileException;
+import hopglade.config.Toml;
 import hopglade.lab.Experiment;
 import hopglade.lab.ExperimentFile;
 import hopglade.lab.RunLine;
@@ -97,9 +98,7 @@
         Experiment experiment = given.read(Map.of());
         Path directory = Files.createDirectories(out == null ? Path.of("target", "lab", experiment.name() + "-sim") : out);
         Results results = new VirtualRun(experiment).play();
-        results.write(directory.resolve("results.json"));
-        HtmlReport.write(results, directory.resolve("report.html"));
-        summary(results, directory);
+        tell(results, directory);
         return results.good() ? Cli.OK : Cli.FAILED;
     }
 
@@ -160,9 +159,7 @@
             }
         });
         System.out.println();
-        results.write(directory.resolve("results.json"));
-        HtmlReport.write(results, directory.resolve("report.html"));
-        summary(results, directory);
+        tell(results, directory);
         return results;
     }
 
@@ -173,6 +170,12 @@
                 100 * p.worthShare(), p.refused(), p.failed(), p.level());
     }
 
+    private static void tell(Results results, Path directory) throws IOException {
+        results.write(directory.resolve("results.json"));
+        HtmlReport.write(results, directory.resolve("report.html"));
+        summary(results, directory);
+    }
+
     private static void summary(Results results, Path directory) {
         String[] figures = {"load.requests", "served.worth", "served.worst_10s_worth", "refused.share", "failed.share", "latency.p50_ms",
             "latency.p99_ms", "cache.hit_share", "origin.load", "control.level_max", "recovery.s", "generator.late_p99_ms",
@@ -278,7 +281,7 @@
         System.out.printf("%8s %8s %18s %18s%n", "nodes", "proxies", "CPU us/request", "bytes/request");
         for (int p : proxies) {
             for (int n : nodes) {
-                ModuleCost.Cost cost = ModuleCost.measure(ExperimentFile.of(hopglade.config.Toml.parse("lab cost",
+                ModuleCost.Cost cost = ModuleCost.measure(ExperimentFile.of(Toml.parse("lab cost",
                         "name = \"cost\"\n[fleet]\nkeys = 100000\nnodes = " + n + "\n[proxies]\ncount = " + p + "\n")));
                 System.out.printf(Locale.ROOT, "%8d %8d %10.2f ± %5.2f %18.0f%n", n, p, cost.cpuUs(), cost.spreadUs(), cost.allocatedBytes());
             }
--- a/src/main/java/hopglade/lab/Oracle.java
+++ b/src/main/java/hopglade/lab/Oracle.java
@@ -2,7 +2,6 @@
 
 import hopglade.Decide;
 import hopglade.Router;
-import hopglade.Router.Availability;
 import hopglade.Router.ListKind;
 import hopglade.lab.load.Habits;
 import hopglade.lab.world.Installation;
@@ -14,7 +13,7 @@
 import org.apache.commons.math3.random.RandomGenerator;
 
 /** Asks a router of its own, to which nothing else ever happens, at which cache nodes a key is looked for. */
-public final class Oracle implements Router.Actions {
+public final class Oracle extends QuietActions {
 
     /** Far enough apart that no meter of the router's sees a load. */
     private static final double STEP_MS = 50;
@@ -30,8 +29,7 @@
         this.router = router;
         this.origin = plan.origin().id();
         router.started(now, this);
-        router.nodes(now, ListKind.FULL, 1, list.stream().map(e -> new Router.Node(e.id(), e.kind(), plan.zones().get(e.zone()), 0,
-                e.weight(), 0, Availability.UP)).toList(), this);
+        router.nodes(now, ListKind.FULL, 1, list.stream().map(e -> ProxySettings.node(plan, e)).toList(), this);
     }
 
     /**
@@ -72,28 +70,4 @@
     public void send(String request, String node, double timeoutMs) {
         sentTo = node;
     }
-
-    @Override
-    public void cancel(String request, int attempt) { }
-
-    @Override
-    public void refuse(String request, double retryAfterMs) { }
-
-    @Override
-    public void fail(String request) { }
-
-    @Override
-    public void timer(double atMs, String token) { }
-
-    @Override
-    public void subscribe() { }
-
-    @Override
-    public void probe(String node) { }
-
-    @Override
-    public void tell(byte[] contents) { }
-
-    @Override
-    public void close(String node) { }
 }
--- a/src/main/java/hopglade/lab/ProxySettings.java
+++ b/src/main/java/hopglade/lab/ProxySettings.java
@@ -6,6 +6,7 @@
 import hopglade.Router;
 import hopglade.benchlink.SettingsReader;
 import hopglade.lab.world.Installation;
+import hopglade.lab.world.World;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -23,6 +24,16 @@
         return SettingsReader.read(json(experiment, plan, proxy, idleMs, connectMs));
     }
 
+    /** An entry of the world's list as the decision module is told it. */
+    public static Router.Node node(Installation plan, World.Entry e) {
+        Router.Availability availability = switch (e.health()) {
+            case UP -> Router.Availability.UP;
+            case DRAINING -> Router.Availability.DRAINING;
+            case REMOVED -> Router.Availability.GONE;
+        };
+        return new Router.Node(e.id(), e.kind(), plan.zones().get(e.zone()), 0, e.weight(), Math.max(0, e.startedAt()), availability);
+    }
+
     /** The {@code settings} object of proxy number {@code proxy}; times in ms. */
     public static JsonObject json(Experiment experiment, Installation plan, int proxy, double idleMs, double connectMs) {
         Experiment.Load asks = experiment.load();
--- /dev/null
+++ b/src/main/java/hopglade/lab/QuietActions.java
@@ -0,0 +1,34 @@
+package hopglade.lab;
+
+import hopglade.Router;
+
+/** Does nothing of what a router asks for; whoever plays a part of a proxy overrides that part. */
+public abstract class QuietActions implements Router.Actions {
+
+    @Override
+    public void send(String request, String node, double timeoutMs) { }
+
+    @Override
+    public void cancel(String request, int attempt) { }
+
+    @Override
+    public void refuse(String request, double retryAfterMs) { }
+
+    @Override
+    public void fail(String request) { }
+
+    @Override
+    public void timer(double atMs, String token) { }
+
+    @Override
+    public void subscribe() { }
+
+    @Override
+    public void probe(String node) { }
+
+    @Override
+    public void tell(byte[] contents) { }
+
+    @Override
+    public void close(String node) { }
+}
--- a/src/main/java/hopglade/lab/ledger/Ledger.java
+++ b/src/main/java/hopglade/lab/ledger/Ledger.java
@@ -1,5 +1,7 @@
 package hopglade.lab.ledger;
 
+import hopglade.lab.world.World;
+import hopglade.lab.world.World.Answer;
 import hopglade.lab.world.World.Health;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -14,6 +16,9 @@
  */
 public final class Ledger {
 
+    private static final int OK = 200;
+    private static final int NOT_FOUND = 404;
+
     /** What became of an attempt at its machine. */
     public enum Verdict {
         /** It was taken and nothing has been heard of it: it may have run, or may yet. */
@@ -38,6 +43,14 @@
         public boolean provesNotRun() {
             return provesNotRun;
         }
+
+        /** What an answer that leaves its machine says of its attempt. */
+        public static Verdict of(Answer answer) {
+            if (answer.manner() != World.Manner.WHOLE) {
+                return BROKEN;
+            }
+            return answer.rejected() ? REJECTED : answer.status() == NOT_FOUND ? MISSED : answer.status() == OK ? RAN : ERRED;
+        }
     }
 
     /** One attempt as its machine saw it; {@code answeredAt} is when the answer's last byte reached the proxy, or infinite. */
--- a/src/main/java/hopglade/lab/ledger/Rules.java
+++ b/src/main/java/hopglade/lab/ledger/Rules.java
@@ -233,8 +233,7 @@
             }
         }
         all.sort(Comparator.comparingDouble(Told::at));
-        List<Attempt> sent = new ArrayList<>(ledger.attempts());
-        sent.sort(Comparator.comparingDouble(a -> a.firstByteAt));
+        List<Attempt> sent = ledger.attempts().stream().sorted(Comparator.comparingDouble(a -> a.firstByteAt)).toList();
         List<Map<String, Knowledge>> known = new ArrayList<>();
         for (int proxy = 0; proxy < experiment.proxies().count(); proxy++) {
             known.add(new HashMap<>());
--- a/src/main/java/hopglade/lab/report/Figures.java
+++ b/src/main/java/hopglade/lab/report/Figures.java
@@ -34,8 +34,7 @@
     private final Installation plan;
     private final List<Story> stories;
     private final Ledger ledger;
-    private final Map<String, Integer> zones = new HashMap<>();
-    private final Map<String, Double> sizes = new HashMap<>();
+    private final Map<String, Integer> zones;
     private final Map<String, Double> figures = new TreeMap<>();
 
     private Figures(Experiment experiment, Installation plan, List<Story> stories, Ledger ledger) {
@@ -43,9 +42,7 @@
         this.plan = plan;
         this.stories = stories;
         this.ledger = ledger;
-        if (plan != null) {
-            plan.nodes().forEach(n -> zones.put(n.id(), n.zone()));
-        }
+        this.zones = plan == null ? Map.of() : plan.machineZones();
     }
 
     /** Every figure that both drivers have. */
@@ -144,21 +141,25 @@
         Map<String, Double> byNode = new HashMap<>();
         plan.nodes().forEach(n -> byNode.put(n.id(), 0.0));
         lookUps.forEach(a -> byNode.merge(a.machine, 1.0, Double::sum));
-        double mean = byNode.values().stream().mapToDouble(w -> w).average().orElse(0);
-        put("routing.busiest_over_mean", share(byNode.values().stream().mapToDouble(w -> w).max().orElse(0), mean));
+        put("routing.busiest_over_mean", busiest(byNode));
         // Of a node's own capacity: machines differ, and a count would blame the large ones.
         Map<String, Double> use = new HashMap<>();
+        Map<String, Double> sizes = new HashMap<>();
         plan.nodes().forEach(n -> use.put(n.id(), 0.0));
         plan.nodes().forEach(n -> sizes.put(n.id(), n.machine().cores() * n.machine().speed()));
         lookUps.forEach(a -> use.merge(a.machine, a.workMs / sizes.get(a.machine), Double::sum));
-        double usual = use.values().stream().mapToDouble(w -> w).average().orElse(0);
-        put("routing.busiest_use_over_mean", share(use.values().stream().mapToDouble(w -> w).max().orElse(0), usual));
+        put("routing.busiest_use_over_mean", busiest(use));
         double wasted = all.stream().filter(a -> a.ran && a.closedAt < Double.POSITIVE_INFINITY).mapToDouble(a -> a.workMs).sum();
         put("attempts.abandoned_work_share", share(wasted, all.stream().mapToDouble(a -> a.workMs).sum()));
     }
 
+    private static double busiest(Map<String, Double> byNode) {
+        double mean = byNode.values().stream().mapToDouble(w -> w).average().orElse(0);
+        return share(byNode.values().stream().mapToDouble(w -> w).max().orElse(0), mean);
+    }
+
     private boolean crosses(Attempt a) {
-        return plan.proxyZones().get(a.proxy) != (a.origin ? plan.origin().zone() : zones.get(a.machine));
+        return plan.proxyZones().get(a.proxy) != zones.get(a.machine);
     }
 
     private void timeline(List<Window> windows) {
--- a/src/main/java/hopglade/lab/sockets/Clients.java
+++ b/src/main/java/hopglade/lab/sockets/Clients.java
@@ -13,6 +13,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -35,10 +36,11 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.Map;
+import java.util.function.Consumer;
 
 /**
  * The clients and the plain front that spreads them over the proxies of their zone. Open loop: each first try goes out at
@@ -120,14 +122,7 @@
     void rehearse() throws InterruptedException {
         CountDownLatch done = new CountDownLatch(proxies.size() * REHEARSALS);
         for (int i = 0; i < proxies.size() * REHEARSALS; i++) {
-            InetSocketAddress proxy = proxies.get(i % proxies.size());
-            new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
-                    .handler(new ChannelInitializer<>() {
-                        @Override
-                        protected void initChannel(Channel channel) {
-                            channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(BODY), new Rehearsal(done));
-                        }
-                    }).connect(proxy);
+            dial(i % proxies.size(), channel -> channel.pipeline().addLast(new Rehearsal(done)));
         }
         done.await(REHEARSAL_S, TimeUnit.SECONDS);
         // And the way of a request: one of no known class is refused with 400 on a connection of its own.
@@ -143,23 +138,17 @@
             return;
         }
         Exchange exchange = new Exchange(stories[0], habits.id(stories[0].first, REHEARSALS), (int) (left.getCount() % proxies.size()), 1000);
-        new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
-                .handler(new ChannelInitializer<>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(BODY));
-                    }
-                }).connect(proxies.get(exchange.proxy)).addListener((io.netty.channel.ChannelFuture f) -> {
-                    if (f.isSuccess()) {
-                        FullHttpRequest request = request(exchange);
-                        request.headers().set("X-Call-Class", "rehearsal");
-                        f.channel().writeAndFlush(request);
-                    }
-                    f.channel().closeFuture().addListener(g -> {
-                        left.countDown();
-                        refusedIn(left);
-                    });
-                });
+        dial(exchange.proxy, channel -> { }).addListener((ChannelFuture f) -> {
+            if (f.isSuccess()) {
+                FullHttpRequest request = request(exchange);
+                request.headers().set("X-Call-Class", "rehearsal");
+                f.channel().writeAndFlush(request);
+            }
+            f.channel().closeFuture().addListener(g -> {
+                left.countDown();
+                refusedIn(left);
+            });
+        });
     }
 
     private static final class Rehearsal extends SimpleChannelInboundHandler<FullHttpResponse> {
@@ -251,20 +240,25 @@
     }
 
     private void connect(Exchange exchange) {
-        new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+        dial(exchange.proxy, channel -> channel.pipeline().addLast(new Connection(channel, exchange.proxy))).addListener((ChannelFuture f) -> {
+            if (f.isSuccess()) {
+                f.channel().pipeline().get(Connection.class).send(exchange);
+            } else {
+                exchange.end(Ending.UNREACHED, -1, 0);
+            }
+        });
+    }
+
+    /** Opens a connection to a proxy; {@code more} adds to what reads and writes HTTP on it. */
+    private ChannelFuture dial(int proxy, Consumer<Channel> more) {
+        return new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS).handler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(BODY),
-                                new Connection(channel, exchange.proxy));
-                    }
-                }).connect(proxies.get(exchange.proxy)).addListener((io.netty.channel.ChannelFuture f) -> {
-                    if (f.isSuccess()) {
-                        f.channel().pipeline().get(Connection.class).send(exchange);
-                    } else {
-                        exchange.end(Ending.UNREACHED, -1, 0);
+                        channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(BODY));
+                        more.accept(channel);
                     }
-                });
+                }).connect(proxies.get(proxy));
     }
 
     private FullHttpRequest request(Exchange exchange) {
--- a/src/main/java/hopglade/lab/sockets/Machines.java
+++ b/src/main/java/hopglade/lab/sockets/Machines.java
@@ -194,11 +194,7 @@
         }
         Attempt a = o.attempt();
         a.ran = answer.ran();
-        a.verdict = answer.rejected() ? Verdict.REJECTED : answer.status() == HttpResponseStatus.NOT_FOUND.code() ? Verdict.MISSED
-                : answer.status() == HttpResponseStatus.OK.code() ? Verdict.RAN : Verdict.ERRED;
-        if (answer.manner() != World.Manner.WHOLE) {
-            a.verdict = Verdict.BROKEN;
-        }
+        a.verdict = Verdict.of(answer);
         loop.schedule(() -> o.link().write(a, answer), (long) (o.delayMs() * 1e6), TimeUnit.NANOSECONDS);
     }
 
--- a/src/main/java/hopglade/lab/sockets/SocketRun.java
+++ b/src/main/java/hopglade/lab/sockets/SocketRun.java
@@ -7,12 +7,11 @@
 import hopglade.lab.ProxySettings;
 import hopglade.lab.faults.Fault;
 import hopglade.lab.ledger.Ledger;
-import hopglade.lab.ledger.Rules;
 import hopglade.lab.ledger.Rules.Rule;
 import hopglade.lab.ledger.Rules.Violation;
 import hopglade.lab.load.LoadPlan;
 import hopglade.lab.load.Story;
-import hopglade.lab.report.Figures;
+import hopglade.lab.report.Played;
 import hopglade.lab.report.Results;
 import hopglade.lab.report.Results.Mark;
 import hopglade.lab.world.Installation;
@@ -36,7 +35,6 @@
 import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
-import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -65,7 +63,6 @@
     /** Clients that are on their way still come for so long after SIGTERM. */
     private static final double FRONT_MS = 300;
     private static final double HOSTILE_MS = 3000;
-    private static final int MOST_VIOLATIONS = 100;
 
     private final Experiment experiment;
     private final Path directory;
@@ -129,12 +126,14 @@
             ledger.changed(machine, World.Health.UP, clock.now(), clock.now());
         }
 
+        @Override
+        public void originStopped() {
+            ledger.originStopped(clock.now());
+        }
+
         @Override
         public void note(String text) {
             mark(text);
-            if (text.startsWith("the origin")) {
-                ledger.originStopped(clock.now());
-            }
         }
     }
 
@@ -441,37 +440,22 @@
     private Results results() {
         endAll();
         List<Story> stories = clients.told();
-        List<Violation> violations = new ArrayList<>(Rules.check(ledger, experiment));
-        violations.addAll(seen);
-        hostileVerdict(violations);
-        List<Results.Window> timeline = Figures.windows(experiment, stories, levels);
-        Map<String, Double> figures = Figures.of(experiment, plan, stories, ledger, violations, timeline);
-        double late = figures.get("generator.late_p99_ms");
-        if (late > experiment.load().latenessMs()) {
-            violations.add(new Violation(Rule.GENERATOR, "load", 0, "p99 of its lateness is " + Results.plain(late) + " ms, the bound is "
-                    + Results.plain(experiment.load().latenessMs())));
-            figures.merge("violations.generator", 1.0, Double::sum);
-            figures.merge("violations.all", 1.0, Double::sum);
-        }
-        figures.putAll(outside);
-        figures.put("proxy.cpu_ms_per_request", 1000 * outside.getOrDefault("proxy.cpu_s", 0.0) / Math.max(1, stories.size()));
-        figures.put("machines.connections_opened", (double) machines.connections());
-        marks.sort(java.util.Comparator.comparingDouble(Mark::atS));
-        return new Results(Results.FORM, experiment.name(), experiment.about(), "sockets", experiment.seed(), load.digest(), figures, timeline,
-                List.copyOf(marks), violations.stream().limit(MOST_VIOLATIONS).map(Violation::toString).toList(),
-                Results.missed(figures, experiment.expects()));
+        hostileVerdict();
+        outside.put("proxy.cpu_ms_per_request", 1000 * outside.getOrDefault("proxy.cpu_s", 0.0) / Math.max(1, stories.size()));
+        outside.put("machines.connections_opened", (double) machines.connections());
+        return new Played(experiment, "sockets", plan, load, ledger, stories, levels, marks, seen).judged(outside);
     }
 
-    private void hostileVerdict(List<Violation> violations) {
+    private void hostileVerdict() {
         List<HostilePeers.Peer> peers = hostile.peers();
         int dealt = 0;
         for (HostilePeers.Peer p : peers) {
             boolean inTime = p.endedAt - p.at <= HOSTILE_MS + experiment.rules().slackMs();
             dealt += inTime && p.status != 200 ? 1 : 0;
             if (p.status >= 200 && p.status < 400) {
-                violations.add(new Violation(Rule.BAD_INPUT, p.kind.name().toLowerCase(Locale.ROOT), p.at, "served with " + p.status));
+                seen.add(new Violation(Rule.BAD_INPUT, p.kind.name().toLowerCase(Locale.ROOT), p.at, "served with " + p.status));
             } else if (!inTime) {
-                violations.add(new Violation(Rule.BAD_INPUT, p.kind.name().toLowerCase(Locale.ROOT), p.at, "proxy-" + p.proxy + " gave it neither an error nor a close in 3 s"));
+                seen.add(new Violation(Rule.BAD_INPUT, p.kind.name().toLowerCase(Locale.ROOT), p.at, "proxy-" + p.proxy + " gave it neither an error nor a close in 3 s"));
             }
         }
         outside.put("hostile.peers", (double) peers.size());
--- a/src/main/java/hopglade/lab/virtual/ModuleCost.java
+++ b/src/main/java/hopglade/lab/virtual/ModuleCost.java
@@ -2,7 +2,6 @@
 
 import hopglade.Decide;
 import hopglade.Router;
-import hopglade.Router.Actions;
 import hopglade.Router.AttemptEnd;
 import hopglade.Router.ListKind;
 import hopglade.Router.Node;
@@ -12,6 +11,7 @@
 import hopglade.lab.Draw;
 import hopglade.lab.Experiment;
 import hopglade.lab.ProxySettings;
+import hopglade.lab.QuietActions;
 import hopglade.lab.world.Installation;
 import java.lang.management.ManagementFactory;
 import java.util.ArrayDeque;
@@ -29,7 +29,7 @@
  * and nothing else runs. Time is the thread's CPU time; it differs from machine to machine, and between two columns of one
  * run it can be compared.
  */
-public final class ModuleCost implements Actions {
+public final class ModuleCost extends QuietActions {
 
     /** CPU time of a request in microseconds, with its standard deviation over blocks, and bytes allocated for it. */
     public record Cost(double cpuUs, double spreadUs, double allocatedBytes) { }
@@ -124,25 +124,4 @@
     public void timer(double atMs, String token) {
         timers.add(new Due(atMs, token));
     }
-
-    @Override
-    public void cancel(String request, int attempt) { }
-
-    @Override
-    public void refuse(String request, double retryAfterMs) { }
-
-    @Override
-    public void fail(String request) { }
-
-    @Override
-    public void subscribe() { }
-
-    @Override
-    public void probe(String node) { }
-
-    @Override
-    public void tell(byte[] contents) { }
-
-    @Override
-    public void close(String node) { }
 }
--- a/src/main/java/hopglade/lab/virtual/VirtualProxy.java
+++ b/src/main/java/hopglade/lab/virtual/VirtualProxy.java
@@ -1,13 +1,13 @@
 package hopglade.lab.virtual;
 
 import hopglade.Router;
-import hopglade.Router.Actions;
 import hopglade.Router.AttemptEnd;
 import hopglade.Router.ListKind;
 import hopglade.Router.Node;
 import hopglade.Router.Outcome;
 import hopglade.Router.Request;
 import hopglade.Router.Settings;
+import hopglade.lab.QuietActions;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -19,7 +19,7 @@
  * One proxy around one router, as {@code hopglade.proxy.Proxy} is on sockets: the same table of requests, the same limits on
  * attempts, the same backstop, wishes done in order after each call. It costs no time itself.
  */
-final class VirtualProxy implements Actions {
+final class VirtualProxy extends QuietActions {
 
     /** The client's side of a request. */
     interface Client {
@@ -311,16 +311,4 @@
             });
         });
     }
-
-    @Override
-    public void subscribe() { }
-
-    @Override
-    public void probe(String node) { }
-
-    @Override
-    public void tell(byte[] contents) { }
-
-    @Override
-    public void close(String node) { }
 }
--- a/src/main/java/hopglade/lab/virtual/VirtualRun.java
+++ b/src/main/java/hopglade/lab/virtual/VirtualRun.java
@@ -2,7 +2,6 @@
 
 import hopglade.Decide;
 import hopglade.Router;
-import hopglade.Router.Availability;
 import hopglade.Router.ListKind;
 import hopglade.Router.Node;
 import hopglade.Router.Outcome;
@@ -18,7 +17,6 @@
 import hopglade.lab.ledger.Ledger.Reply;
 import hopglade.lab.ledger.Ledger.Try;
 import hopglade.lab.ledger.Ledger.Verdict;
-import hopglade.lab.ledger.Rules;
 import hopglade.lab.ledger.Rules.Rule;
 import hopglade.lab.ledger.Rules.Violation;
 import hopglade.lab.load.Front;
@@ -27,7 +25,7 @@
 import hopglade.lab.load.LoadPlan;
 import hopglade.lab.load.LoadPlan.First;
 import hopglade.lab.load.Story;
-import hopglade.lab.report.Figures;
+import hopglade.lab.report.Played;
 import hopglade.lab.report.Results;
 import hopglade.lab.report.Results.Mark;
 import hopglade.lab.world.Installation;
@@ -58,7 +56,6 @@
     /** How long a proxy's start takes before it serves. */
     private static final double START_MS = 1200;
     private static final double SETTLE_MS = 500;
-    private static final int MOST_VIOLATIONS = 100;
     private static final int NOT_FOUND = 404;
     private static final int OK = 200;
 
@@ -87,7 +84,7 @@
     private final Map<String, Out> byTry = new HashMap<>();
     /** When each idle connection was used last, for a machine's name, by proxy. */
     private final Map<String, List<Deque<Double>>> idle = new HashMap<>();
-    private final Map<String, Integer> zones = new HashMap<>();
+    private final Map<String, Integer> zones;
     private final Map<String, Double> resetShare = new HashMap<>();
     private final Map<String, Double> silentUntil = new HashMap<>();
     private final Map<String, First> asked = new HashMap<>();
@@ -139,8 +136,7 @@
         this.front = new Front(plan.proxyZones());
         this.cutUntil = new double[plan.zones().size()];
         this.levels = new int[(int) Math.ceil(experiment.durationS())];
-        plan.nodes().forEach(n -> zones.put(n.id(), n.zone()));
-        zones.put(plan.origin().id(), plan.origin().zone());
+        this.zones = plan.machineZones();
         this.stories = new Story[load.firsts().size()];
     }
 
@@ -178,12 +174,14 @@
             ledger.changed(machine, Health.UP, agenda.now(), agenda.now());
         }
 
+        @Override
+        public void originStopped() {
+            ledger.originStopped(agenda.now());
+        }
+
         @Override
         public void note(String text) {
             mark(text);
-            if (text.startsWith("the origin")) {
-                ledger.originStopped(agenda.now());
-            }
         }
     }
 
@@ -192,12 +190,7 @@
     }
 
     private Node node(Entry e) {
-        Availability availability = switch (e.health()) {
-            case UP -> Availability.UP;
-            case DRAINING -> Availability.DRAINING;
-            case REMOVED -> Availability.GONE;
-        };
-        return new Node(e.id(), e.kind(), plan.zones().get(e.zone()), 0, e.weight(), Math.max(0, e.startedAt()), availability);
+        return ProxySettings.node(plan, e);
     }
 
     public Results play() {
@@ -418,8 +411,7 @@
         }
         drop(o);
         o.attempt.ran = answer.ran();
-        o.attempt.verdict = answer.manner() != World.Manner.WHOLE ? Verdict.BROKEN : answer.rejected() ? Verdict.REJECTED
-                : answer.status() == NOT_FOUND ? Verdict.MISSED : answer.status() == OK ? Verdict.RAN : Verdict.ERRED;
+        o.attempt.verdict = Verdict.of(answer);
         agenda.in(o.delayMs, () -> {
             if (silent(o.proxy.index, o.node) || o.proxy.dead()) {
                 return;
@@ -533,26 +525,17 @@
 
     private Results results() {
         List<Story> told = java.util.Arrays.stream(stories).filter(java.util.Objects::nonNull).toList();
-        List<Violation> violations = new ArrayList<>(Rules.check(ledger, experiment));
-        violations.addAll(seen);
         if (told.size() < stories.length) {
-            violations.add(new Violation(Rule.GENERATOR, "load", agenda.now(), stories.length - told.size() + " first tries have no end"));
-        }
-        for (VirtualProxy p : proxies) {
-            if (!p.dead() && p.owed() > 0) {
-                violations.add(new Violation(Rule.ONE_ANSWER, "proxy-" + p.index, agenda.now(), p.owed() + " requests are still owed an answer"));
-            }
+            seen.add(new Violation(Rule.GENERATOR, "load", agenda.now(), stories.length - told.size() + " first tries have no end"));
         }
-        List<Results.Window> timeline = Figures.windows(experiment, told, levels);
-        Map<String, Double> figures = Figures.of(experiment, plan, told, ledger, violations, timeline);
-        figures.put("proxy.table_max", (double) largestTable);
-        figures.put("proxy.entries_left", proxies.stream().filter(p -> !p.dead()).mapToDouble(VirtualProxy::entries).max().orElse(0));
-        figures.put("proxy.backstops", proxies.stream().mapToDouble(VirtualProxy::backstops).sum());
-        figures.put("proxy.timers_left", proxies.stream().filter(p -> !p.dead()).mapToDouble(VirtualProxy::timers).max().orElse(0));
-        figures.put("machines.connections_opened", (double) connections);
-        marks.sort(Comparator.comparingDouble(Mark::atS));
-        return new Results(Results.FORM, experiment.name(), experiment.about(), "virtual", experiment.seed(), load.digest(), figures, timeline,
-                List.copyOf(marks), violations.stream().limit(MOST_VIOLATIONS).map(Violation::toString).toList(),
-                Results.missed(figures, experiment.expects()));
+        List<VirtualProxy> alive = proxies.stream().filter(p -> !p.dead()).toList();
+        alive.stream().filter(p -> p.owed() > 0).forEach(p -> seen.add(new Violation(Rule.ONE_ANSWER, "proxy-" + p.index, agenda.now(),
+                p.owed() + " requests are still owed an answer")));
+        Map<String, Double> own = Map.of("proxy.table_max", (double) largestTable,
+                "proxy.entries_left", alive.stream().mapToDouble(VirtualProxy::entries).max().orElse(0),
+                "proxy.backstops", proxies.stream().mapToDouble(VirtualProxy::backstops).sum(),
+                "proxy.timers_left", alive.stream().mapToDouble(VirtualProxy::timers).max().orElse(0),
+                "machines.connections_opened", (double) connections);
+        return new Played(experiment, "virtual", plan, load, ledger, told, levels, marks, seen).judged(own);
     }
 }
--- a/src/main/java/hopglade/lab/world/Installation.java
+++ b/src/main/java/hopglade/lab/world/Installation.java
@@ -1,6 +1,8 @@
 package hopglade.lab.world;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 /**
  * One installation as it was drawn: every figure is fixed here and told to no proxy. Times are in milliseconds.
@@ -37,6 +39,14 @@
     /** Objects: how many keys there are, the bytes of one (least and most), and for how long a copy is kept. */
     public record Storing(long keys, double[] bytes, double ttlMs) { }
 
+    /** The zone of each node and of the origin, by its name. */
+    public Map<String, Integer> machineZones() {
+        Map<String, Integer> zoneOf = new HashMap<>();
+        nodes.forEach(n -> zoneOf.put(n.id(), n.zone()));
+        zoneOf.put(origin.id(), origin.zone());
+        return zoneOf;
+    }
+
     /** One-way delay between a proxy and a machine's zone. */
     public double delayMs(int proxy, int zone) {
         return linkMs[proxyZones.get(proxy)][zone];
--- a/src/main/java/hopglade/lab/world/World.java
+++ b/src/main/java/hopglade/lab/world/World.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.function.Consumer;
 import org.apache.commons.math3.random.RandomGenerator;
 
 /**
@@ -53,6 +54,9 @@
         /** The machine's process is up, and takes connections. */
         void up(String machine);
 
+        /** The origin was pushed over, and stops for a while. */
+        void originStopped();
+
         /** Something that belongs into the results: an origin that stops, a node that falls over. */
         void note(String text);
     }
@@ -414,6 +418,7 @@
             originStops++;
             double down = draw(o.downMs());
             out.note("the origin was sent " + o.fallMultiple() + " times its capacity and stops for " + Math.round(down) + " ms");
+            out.originStopped();
             work(unit, now, out);
             unit.machine.stall(now + down);
             rearm(unit);
@@ -491,19 +496,20 @@
 
     /** The machine does nothing until then. */
     public void stall(double now, String machine, double until, Effects out) {
-        advance(now, out);
-        Unit unit = units.get(machine);
-        work(unit, now, out);
-        unit.machine.stall(until);
-        rearm(unit);
+        altered(now, machine, m -> m.stall(until), out);
     }
 
     /** Each piece of work takes so many times as long from now on; 1 is the usual. */
     public void slow(double now, String machine, double factor, Effects out) {
+        altered(now, machine, m -> m.slow(factor), out);
+    }
+
+    /** A machine that has worked until now goes on in another way. */
+    private void altered(double now, String machine, Consumer<Machine> change, Effects out) {
         advance(now, out);
         Unit unit = units.get(machine);
         work(unit, now, out);
-        unit.machine.slow(factor);
+        change.accept(unit.machine);
         rearm(unit);
     }
 
