--- a/src/main/java/hopglade/Decide.java
+++ b/src/main/java/hopglade/Decide.java
@@ -99,6 +99,8 @@
     static final int SPARED_PART = 3;
     static final double SPARE_MS = 500;
     static final double SPARE_MOST_MS = 4000;
+    /** How soon a node that peers doubt is probed again; a failed probe spares it for longer than that. */
+    static final double PROBE_AGAIN_MS = 400;
     /** Of a cache attempt's remaining time, the part it may use while another attempt is still possible. */
     static final double FIRST_TRY = 0.6;
     /** Part of the aim after which a request is taken for lost, where answers come sooner but for losses. */
@@ -369,6 +371,11 @@
                 subscribed = true;
                 out.subscribe();
             }
+        } else if (token.startsWith("p")) {
+            NodeView n = nodes.get(token.substring(1));
+            if (n != null) {
+                probe(n, out);
+            }
         } else if (token.startsWith("r")) {
             Held r = requests.get(token.substring(1));
             if (r != null && !r.streaming) {
@@ -379,7 +386,56 @@
 
     @Override
     public void probed(double now, String node, Outcome outcome, double elapsedMs, Map<String, Double> load,
-                       Actions out) { }
+                       Actions out) {
+        NodeView n = nodes.get(node);
+        if (n == null || !n.probing) {
+            return;
+        }
+        n.probing = false;
+        boolean answered = outcome == Outcome.OK || outcome == Outcome.MISS;
+        n.failsProbes = !answered && (n.doubted || n.failsProbes);
+        if (answered) {
+            n.cleared();
+        } else if (n.failsProbes) {
+            n.spare(now, caches, 1);
+            moveOn(now, n, out);
+        }
+        if (n.doubted || n.failsProbes) {
+            out.timer(now + PROBE_AGAIN_MS, "p" + node);
+        }
+    }
+
+    /**
+     * Peers doubt a node, or no longer do. Hearsay alone moves no request: it makes us probe at once, and
+     * wait briefly for attempts there; what the probe shows is then acted upon.
+     */
+    @Override
+    public void standing(double now, String node, boolean doubted, Actions out) {
+        NodeView n = nodes.get(node);
+        if (n != null && !n.isOrigin()) {
+            n.doubted = doubted;
+            probe(n, out);
+        }
+    }
+
+    /** What waits at a node that neither peers nor our probe get a word of goes to another in time. */
+    private void moveOn(double now, NodeView n, Actions out) {
+        for (Held r : settings.limits().cancel() ? requests.values() : List.<Held>of()) {
+            boolean waits = r.out && r.at == n && !r.streaming && !r.heavy;
+            boolean late = now - r.sentAt > n.usualMs + DEVIATIONS * n.deviationMs;
+            if (waits && late && r.service.effect() == Effect.SAFE) {
+                out.cancel(r.in.id(), r.attempts - 1);
+            }
+        }
+    }
+
+    private void probe(NodeView n, Actions out) {
+        boolean asks = n.listed && (n.doubted || n.failsProbes) && settings.limits().probes();
+        if (asks && !n.probing) {
+            n.probing = true;
+            out.probe(n.entry.id());
+        }
+    }
 
     @Override
     public void peerMessage(double now, int from, byte[] contents, Actions out) {
@@ -994,6 +1050,7 @@
         int ejections;
         double lastEnd = Double.NEGATIVE_INFINITY;
         boolean onTrial;
+        boolean doubted, probing, failsProbes;
         double sparedUntil;
         double coldSince = Double.NEGATIVE_INFINITY;
 
@@ -1119,7 +1176,7 @@
          * where a few requests take far longer than all others.
          */
         boolean loses(double aimMs) {
-            return (silent > LOSING || lost > LOSSY) && silent < SILENT
+            return (silent > LOSING || lost > LOSSY || doubted) && silent < SILENT
                     && usualMs + DEVIATIONS * deviationMs < SOONEST * aimMs;
         }
 
@@ -1151,6 +1208,14 @@
                     : Math.max(STRIKES, Math.ceil(Math.log(LUCK) / Math.log(Math.min(0.5, usualBreaks))));
         }
 
+        /** An own probe was answered: nothing in a row is left that would spare it. */
+        void cleared() {
+            strikes = 0;
+            onTrial = false;
+            sparedUntil = 0;
+            silent = Math.min(silent, SILENT);
+        }
+
         private void spare(double now, List<NodeView> peers, int times) {
             if (isOrigin()) {
                 return;
--- a/src/main/java/hopglade/Main.java
+++ b/src/main/java/hopglade/Main.java
@@ -60,7 +60,7 @@
         try {
             Options options = optionsFile == null ? Options.DEFAULTS : OptionsFile.read(Path.of(optionsFile));
             Log.configure(options.log());
-            service = Service.start(Config.fromEnvironment(environment));
+            service = Service.start(Config.fromEnvironment(environment), options);
             if (optionsFile != null) {
                 service.options(() -> OptionsFile.read(Path.of(optionsFile)), options);
             }
--- a/src/main/java/hopglade/Router.java
+++ b/src/main/java/hopglade/Router.java
@@ -182,6 +182,12 @@
     /** A probe's result. */
     void probed(double now, String node, Outcome outcome, double elapsedMs, Map<String, Double> load, Actions out);
 
+    /**
+     * So many peers that chance and a single one's error are ruled out say that a node fails them, or no longer say so. It is
+     * hearsay: what is sent where may change only once our own probe has shown the same.
+     */
+    default void standing(double now, String node, boolean doubted, Actions out) { }
+
     /** A message from another proxy. */
     void peerMessage(double now, int from, byte[] contents, Actions out);
 
--- a/src/main/java/hopglade/config/Options.java
+++ b/src/main/java/hopglade/config/Options.java
@@ -1,10 +1,12 @@
 package hopglade.config;
 
+import java.util.List;
+
 /**
  * What an operator may set beside the platform's configuration; each subsystem has a record. A plain record without the
  * TOML library behind it, so that a proxy started without a file loads nothing more.
  */
-public record Options(Log log) {
+public record Options(Log log, Gossip gossip) {
 
     /** How a line of the log is written. */
     public enum Format { TEXT, JSON }
@@ -17,6 +19,27 @@
      */
     public record Log(Format format, int tallyS, int oddLines, int oddWindowS) { }
 
+    /**
+     * Gossip between proxies; all of it is read at the start alone, but for what the key files hold.
+     *
+     * @param enabled           whether this proxy takes part
+     * @param listen            a numeric address and port for UDP, at which the others reach it
+     * @param seeds             addresses of a few proxies that are asked for the others
+     * @param keyFile           this proxy's own key
+     * @param ringFile          the keys that are trusted
+     * @param bytesPerS         the most that is sent in any second, headers included, 4096 to 1,048,576
+     * @param verificationsPerS signatures that are checked in any second at most, 10 to 10,000
+     * @param membersSocket     where {@code flintmill members} asks; empty for nowhere
+     */
+    public record Gossip(boolean enabled, String listen, List<String> seeds, String keyFile, String ringFile, int bytesPerS,
+                         int verificationsPerS, String membersSocket) {
+
+        public Gossip {
+            seeds = List.copyOf(seeds);
+        }
+    }
+
     /** What holds without a file. */
-    public static final Options DEFAULTS = new Options(new Log(Format.TEXT, 10, 20, 10));
+    public static final Options DEFAULTS = new Options(new Log(Format.TEXT, 10, 20, 10),
+            new Gossip(false, "127.0.0.1:7946", List.of(), "gossip.key", "gossip.ring", 4096, 200, ""));
 }
--- /dev/null
+++ b/src/main/java/hopglade/gossip/GossipSocket.java
@@ -0,0 +1,229 @@
+package hopglade.gossip;
+
+import hopglade.Router.Availability;
+import hopglade.Router.ListKind;
+import hopglade.Router.Node;
+import hopglade.Router.Outcome;
+import hopglade.config.Options;
+import hopglade.membership.Gossip;
+import hopglade.membership.Gossip.What;
+import hopglade.membership.Member;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.netty.util.NetUtil;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
+
+/**
+ * One proxy's gossip on UDP, on the proxy's own event loop. It carries packets and time to {@link Gossip} and its wishes back;
+ * it looks no name up, so a member is reached at a numeric address or not at all.
+ */
+public final class GossipSocket implements Gossip.Actions {
+
+    /** A datagram that is longer than any of ours shows as one byte more than that, and is refused for it. */
+    private static final int MOST_BYTES = 1201;
+
+    /** What the proxy does with what is heard. */
+    public interface Hooks {
+        void standing(String node, boolean doubted);
+
+        /** An event for the log. */
+        void event(String name, Object... fields);
+    }
+
+    private final EventLoop loop;
+    private final DoubleSupplier clock;
+    private final Hooks hooks;
+    private final KeyRing keys;
+    private final Options.Gossip options;
+    private final Map<String, Node> nodes = new TreeMap<>();
+    private final long seed;
+    private Gossip gossip;
+    private Channel channel;
+    private MembersSocket members;
+
+    private GossipSocket(EventLoop loop, DoubleSupplier clock, long seed, Options.Gossip options, KeyRing keys, Hooks hooks) {
+        this.loop = loop;
+        this.clock = clock;
+        this.seed = seed;
+        this.options = options;
+        this.keys = keys;
+        this.hooks = hooks;
+    }
+
+    /**
+     * Binds and begins. Throws where the keys can't be used or the address can't be had.
+     *
+     * @param clock milliseconds that never run back
+     */
+    public static GossipSocket open(EventLoop loop, DoubleSupplier clock, long seed, Options.Gossip options, Hooks hooks)
+            throws IOException, InterruptedException, KeyException {
+        KeyRing keys = new KeyRing(Path.of(options.keyFile()), Path.of(options.ringFile()));
+        GossipSocket socket = new GossipSocket(loop, clock, seed, options, keys, hooks);
+        socket.bind();
+        return socket;
+    }
+
+    private void bind() throws IOException, InterruptedException {
+        InetSocketAddress listen = address(options.listen());
+        if (listen == null) {
+            throw new IOException("gossip.listen: " + options.listen() + " is no numeric address and port");
+        }
+        ChannelFuture bound = new Bootstrap().group(loop).channel(NioDatagramChannel.class)
+                .option(io.netty.channel.ChannelOption.RECVBUF_ALLOCATOR, new io.netty.channel.FixedRecvByteBufAllocator(MOST_BYTES))
+                .handler(new Inbox()).bind(listen).await();
+        if (!bound.isSuccess()) {
+            throw new IOException("cannot listen on " + options.listen() + " for gossip: " + bound.cause().getMessage());
+        }
+        channel = bound.channel();
+        String here = text((InetSocketAddress) channel.localAddress());
+        gossip = new Gossip(new Gossip.Settings(here, options.seeds(), options.bytesPerS(), options.verificationsPerS()), keys, seed);
+        if (!options.membersSocket().isEmpty()) {
+            members = MembersSocket.open(Path.of(options.membersSocket()), loop, this::view);
+        }
+        hooks.event("gossip", "name", keys.name(), "address", here, "seeds", options.seeds().size());
+        loop.execute(() -> {
+            gossip.start(clock.getAsDouble(), this);
+            tick();
+        });
+    }
+
+    private void tick() {
+        if (channel.isOpen()) {
+            gossip.tick(clock.getAsDouble(), this);
+            loop.schedule(this::tick, (long) Gossip.TICK_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Where it listens, as others are told. */
+    public String address() {
+        return text((InetSocketAddress) channel.localAddress());
+    }
+
+    /** Reads the keys again; what is wrong with them changes nothing. */
+    public void reload() throws KeyException {
+        keys.reload();
+        hooks.event("gossip_keys", "key", String.format(Locale.ROOT, "%08x", keys.keyId()));
+    }
+
+    /** Tells the others that this proxy goes. */
+    public void leave() {
+        gossip.leave(clock.getAsDouble(), this);
+    }
+
+    /** Ends it; packets that are on their way still go. */
+    public void close() {
+        channel.close();
+        if (members != null) {
+            members.close();
+        }
+    }
+
+    // What the proxy sees.
+
+    /** The server list or news of it, without the origin. */
+    public void listed(ListKind kind, List<Node> entries) {
+        if (kind == ListKind.FULL) {
+            nodes.clear();
+        }
+        for (Node n : entries) {
+            if (n.availability() == Availability.UP) {
+                nodes.put(n.id(), n);
+            } else {
+                nodes.remove(n.id());
+            }
+        }
+        gossip.nodes(nodes.values());
+    }
+
+    public void sent(String node) {
+        gossip.sent(clock.getAsDouble(), node);
+    }
+
+    public void ended(String node, Outcome outcome, double elapsedMs) {
+        gossip.ended(clock.getAsDouble(), node, outcome, elapsedMs);
+    }
+
+    public void probed(String node, Outcome outcome) {
+        gossip.probed(clock.getAsDouble(), node, outcome, this);
+    }
+
+    /** Packets and bytes so far. */
+    public Gossip.Counts counts() {
+        return gossip.counts();
+    }
+
+    /** Everyone that is known, one a line: name, state, address, incarnation and how far its claims are believed. */
+    String view() {
+        StringBuilder lines = new StringBuilder();
+        for (Member m : gossip.table()) {
+            lines.append(String.format(Locale.ROOT, "%-32s %-8s %-24s %6d  %.2f%n", m.name(), m.status().name().toLowerCase(Locale.ROOT),
+                    m.address(), m.incarnation(), gossip.weight(clock.getAsDouble(), m.name())));
+        }
+        return lines.toString();
+    }
+
+    // What gossip wants.
+
+    @Override
+    public void send(String to, byte[] packet) {
+        InetSocketAddress address = address(to);
+        if (address != null) {
+            channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(packet), address));
+        }
+    }
+
+    @Override
+    public void standing(String node, boolean doubted) {
+        hooks.standing(node, doubted);
+    }
+
+    @Override
+    public void event(What what, String subject, String evidence) {
+        hooks.event("gossip_" + what.name().toLowerCase(Locale.ROOT), "subject", subject, "evidence", evidence);
+    }
+
+    private static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        byte[] bytes = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
+        try {
+            int port = bytes == null ? -1 : Integer.parseInt(text.substring(colon + 1));
+            return port < 0 || port > 0xffff ? null : new InetSocketAddress(InetAddress.getByAddress(bytes), port);
+        } catch (NumberFormatException | UnknownHostException e) {
+            return null;
+        }
+    }
+
+    private static String text(InetSocketAddress address) {
+        return NetUtil.toAddressString(address.getAddress()) + ":" + address.getPort();
+    }
+
+    private final class Inbox extends SimpleChannelInboundHandler<DatagramPacket> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+            gossip.received(clock.getAsDouble(), text(packet.sender()), ByteBufUtil.getBytes(packet.content()), GossipSocket.this);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            // A member that is gone shows as an error on this socket; the socket itself is fine.
+        }
+    }
+}
--- a/src/main/java/hopglade/lab/Experiment.java
+++ b/src/main/java/hopglade/lab/Experiment.java
@@ -8,7 +8,7 @@
  * and the most. See {@link ExperimentFile} for the keys and their bounds.
  */
 public record Experiment(String name, String about, long seed, double durationS, Fleet fleet, Origin origin,
-                         Discovery discovery, Proxies proxies, Load load, Rules rules, List<Fault> faults,
+                         Discovery discovery, Proxies proxies, Gossip gossip, Load load, Rules rules, List<Fault> faults,
                          List<Expect> expects) {
 
     /** Cache nodes, their zones and the links between them. */
@@ -28,6 +28,9 @@
     /** {@code run} is the command that starts one; empty for that of deploy/balancer.toml. */
     public record Proxies(int count, String run, int memoryMb, int sockets, double noticeS) { }
 
+    /** Whether the proxies gossip, and the bytes that each may send in a second, headers included. */
+    public record Gossip(boolean enabled, int bytesPerS) { }
+
     public record Load(double rate, double zipf, double drift, int retries, double[] retryWaitMs, double honours,
                        boolean marksRetries, double[] patience, double costHintError, double maxRetryAfterMs,
                        double latenessMs, List<Class> classes) {
--- a/src/main/java/hopglade/lab/ExperimentFile.java
+++ b/src/main/java/hopglade/lab/ExperimentFile.java
@@ -20,6 +20,9 @@
     private static final int ROOM_A_CORE = 50;
     private static final double MOST_RATE = 200_000;
     private static final double MOST_MS = 600_000;
+    private static final int GOSSIP_BYTES = 4096;
+    private static final int LEAST_GOSSIP_BYTES = 4096;
+    private static final int MOST_GOSSIP_BYTES = 1 << 20;
     private static final Pattern FIGURE = Pattern.compile("[a-z0-9_]+(\\.[A-Za-z0-9_-]+)+");
 
     private final Toml toml;
@@ -55,6 +58,10 @@
                 list.range("weight_s", new double[] {0.5, 1.5}, 0.05, 60));
         list.done();
         Experiment.Proxies proxies = proxies(root.table("proxies"));
+        Toml.Table talk = root.table("gossip");
+        Experiment.Gossip gossip = new Experiment.Gossip(talk.flag("enabled", false),
+                talk.whole("bytes_per_s", GOSSIP_BYTES, LEAST_GOSSIP_BYTES, MOST_GOSSIP_BYTES));
+        talk.done();
         Experiment.Load load = load(root.table("load"));
         Experiment.Rules rules = rules(root.table("rules"));
         List<Fault> faults = new ArrayList<>();
@@ -66,7 +73,7 @@
             expects.add(expect(expect));
         }
         Experiment experiment = new Experiment(name, root.text("about", ""), root.whole("seed", 1, 0, Integer.MAX_VALUE),
-                duration, fleet, origin, discovery, proxies, load, rules, List.copyOf(faults), List.copyOf(expects));
+                duration, fleet, origin, discovery, proxies, gossip, load, rules, List.copyOf(faults), List.copyOf(expects));
         root.done();
         return experiment;
     }
--- a/src/main/java/hopglade/lab/ProxySettings.java
+++ b/src/main/java/hopglade/lab/ProxySettings.java
@@ -54,7 +54,7 @@
                 "origin_fall_ms", experiment.origin().fallS() * MS_PER_S));
         s.put("clients", Map.of("marks_retry", asks.marksRetries()));
         s.put("limits", Map.of("cancelling", true, "connect_timeout_ms", connectMs, "idle_close_ms", idleMs, "max_open", 20_000,
-                "max_retry_after_ms", asks.maxRetryAfterMs(), "probing", false, "retry_after", true,
+                "max_retry_after_ms", asks.maxRetryAfterMs(), "probing", experiment.gossip().enabled(), "retry_after", true,
                 "second_copies", experiment.rules().secondCopies(), "try_limit", experiment.rules().attempts()));
         double coldFrom = experiment.fleet().kinds().stream().mapToDouble(k -> k.coldFrom()[0]).min().orElse(1);
         double coldMs = experiment.fleet().kinds().stream().mapToDouble(k -> k.coldS() * MS_PER_S).max().orElse(0);
--- a/src/main/java/hopglade/lab/faults/Fault.java
+++ b/src/main/java/hopglade/lab/faults/Fault.java
@@ -73,7 +73,23 @@
         /** Its discovery moves to another address, and SIGHUP tells it so. */
         PROXY_HUP(Key.PROXY),
         /** It is stopped for so long, and goes on. */
-        PROXY_STOP(Key.PROXY, Key.FOR_S);
+        PROXY_STOP(Key.PROXY, Key.FOR_S),
+        /** Its own link is broken: every machine seems silent to it, while its clients and peers reach it. */
+        PROXY_BLIND(Key.PROXY, Key.FOR_S),
+        /** Its gossip reaches nobody and nobody's reaches it; requests flow. Several at once are cut from one another too. */
+        GOSSIP_CUT(Key.PROXY, Key.FOR_S),
+        /** Proxies of two parts hear those of their own part alone: that of the fault, and the rest. */
+        GOSSIP_SPLIT(Key.PROXY, Key.FOR_S),
+        /** Of the packets between proxies a share is lost, as many arrive twice, and as many late and out of order. */
+        GOSSIP_LOSS(Key.FOR_S, Key.SHARE),
+        /** It accuses every node, whatever it sees. */
+        LIAR_ACCUSES(Key.PROXY, Key.FOR_S),
+        /** It has nothing against any node, dead ones too. */
+        LIAR_PRAISES(Key.PROXY, Key.FOR_S),
+        /** It accuses every node and takes it back, each for a second. */
+        LIAR_FLIPS(Key.PROXY, Key.FOR_S),
+        /** The clock that its gossip goes by steps an hour ahead and runs {@code factor} times as fast. */
+        PROXY_CLOCK(Key.PROXY, Key.FOR_S, Key.FACTOR);
 
         private final Set<Key> keys;
 
--- a/src/main/java/hopglade/lab/report/Figures.java
+++ b/src/main/java/hopglade/lab/report/Figures.java
@@ -81,6 +81,7 @@
         double asked = stories.stream().mapToDouble(this::worth).sum();
         put("served.worth", share(stories.stream().mapToDouble(this::earned).sum(), asked));
         put("served.share", share(stories.stream().filter(Story::served).count(), stories.size()));
+        put("served.late_or_not_share", share(stories.stream().filter(s -> !s.served() || earned(s) == 0).count(), stories.size()));
         put("served.late_share", share(stories.stream().filter(s -> s.served() && earned(s) == 0).count(), stories.size()));
         put("refused.share", share(stories.stream().filter(Story::refused).count(), stories.size()));
         put("failed.share", share(stories.stream().filter(s -> !s.served() && !s.refused()).count(), stories.size()));
--- a/src/main/java/hopglade/lab/sockets/Machines.java
+++ b/src/main/java/hopglade/lab/sockets/Machines.java
@@ -234,7 +234,9 @@
             firstByteAt = -1;
             String id = request.headers().get("X-Call-Id");
             if (id == null) {
-                plain(request.uri().equals("/alive") ? HttpResponseStatus.OK : HttpResponseStatus.NOT_FOUND);
+                if (!doors.silent()) {
+                    plain(request.uri().equals("/alive") ? HttpResponseStatus.OK : HttpResponseStatus.NOT_FOUND);
+                }
                 return;
             }
             LoadPlan.First first = asked.first(id);
--- a/src/main/java/hopglade/lab/sockets/ProxyProcess.java
+++ b/src/main/java/hopglade/lab/sockets/ProxyProcess.java
@@ -29,6 +29,8 @@
     private static final String KEEPER = "exec 3<&0; /bin/sh -c \"$1\" </dev/null 3<&- & p=$!; echo \"pid $p\"; "
             + "(while read -r _; do :; done <&3; kill -KILL $p) 2>/dev/null & w=$!; exec 3<&-; wait $p; c=$?; kill $w 2>/dev/null; echo \"exit $c\"";
     private static final Pattern LEVEL = Pattern.compile("\\bcontrol level=(\\d+)");
+    private static final Pattern GOSSIP = Pattern.compile("\\bgossip_tally sent=(\\d+) bytes=(\\d+)");
+    private static final int HEADERS = 28;
     private static final long READY_POLL_MS = 20;
     private static final double TICKS_PER_S = 100;
     private static final double KB_PER_MB = 1024;
@@ -46,6 +48,8 @@
     private Process keeper;
     private volatile long pid = -1;
     private volatile int level;
+    private volatile double gossipBytesPerS;
+    private volatile long startedNs;
     private volatile Integer exit;
     private volatile boolean expected;
     private int lives;
@@ -84,6 +88,7 @@
         exit = null;
         expected = false;
         lives++;
+        startedNs = System.nanoTime();
         keeper = builder.start();
         Process mine = keeper;
         Thread reading = new Thread(() -> read(mine), name + "-log");
@@ -95,6 +100,7 @@
         try (BufferedReader lines = new BufferedReader(new InputStreamReader(mine.getInputStream(), StandardCharsets.UTF_8))) {
             for (String line = lines.readLine(); line != null; line = lines.readLine()) {
                 Matcher control = LEVEL.matcher(line);
+                Matcher gossip = GOSSIP.matcher(line);
                 if (line.startsWith("pid ") && pid < 0 && mine == keeper) {
                     pid = Long.parseLong(line.substring(4).trim());
                 } else if (line.startsWith("exit ") && mine == keeper) {
@@ -102,6 +108,10 @@
                 } else if (control.find()) {
                     level = Integer.parseInt(control.group(1));
                 }
+                if (gossip.find()) {
+                    double bytes = Double.parseDouble(gossip.group(2)) + HEADERS * Double.parseDouble(gossip.group(1));
+                    gossipBytesPerS = bytes / ((System.nanoTime() - startedNs) / 1e9);
+                }
                 synchronized (log) {
                     log.println(line);
                 }
@@ -161,6 +171,11 @@
         return level;
     }
 
+    /** What its gossip has put on the wire since its start, by its own count; 0 without gossip. */
+    double gossipBytesPerS() {
+        return gossipBytesPerS;
+    }
+
     int lives() {
         return lives;
     }
--- /dev/null
+++ b/src/main/java/hopglade/lab/sockets/SocketPeers.java
@@ -0,0 +1,116 @@
+package hopglade.lab.sockets;
+
+import hopglade.Router;
+import hopglade.config.Options;
+import hopglade.gossip.GossipSocket;
+import hopglade.gossip.KeyException;
+import hopglade.gossip.KeyFiles;
+import hopglade.lab.Experiment;
+import io.netty.channel.EventLoop;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.DoublePredicate;
+import java.util.function.DoubleSupplier;
+import java.util.stream.Collectors;
+
+/**
+ * What proxies on sockets need to gossip: keys, a ring, and options beside their configuration. A liar on sockets is one more
+ * member of the fleet, with a key of its own, that runs no proxy and tells what it never saw.
+ */
+final class SocketPeers {
+
+    private static final int SEEDS = 3;
+    private static final double NS_PER_MS = 1e6;
+    private static final String LIAR = "liar";
+    private static final int VERIFICATIONS_PER_S = 200;
+    private static final double LIE_EVERY_MS = 250;
+    private static final String PROGRAM = "-jar target/hopglade.jar serve";
+
+    private SocketPeers() { }
+
+    /** The run line with the options, which need the tools' libraries beside the program. */
+    static String command(String run, Path directory, int proxy) throws IOException {
+        if (!run.contains(PROGRAM)) {
+            throw new IOException("gossip on sockets needs a run line that holds " + PROGRAM);
+        }
+        return run.replace(PROGRAM, "-cp 'target/hopglade.jar:target/lib/*' hopglade.Main serve --options " + options(directory, proxy));
+    }
+
+    private static Path options(Path directory, int proxy) {
+        return directory.resolve("proxy-" + proxy + ".toml");
+    }
+
+    /**
+     * Begins to lie, on the loop, about these nodes; returns what ends it.
+     *
+     * @param accuses whether it accuses at this moment, by the time since it began in ms
+     */
+    static Runnable liar(EventLoop loop, Path directory, Experiment experiment, List<InetSocketAddress> addresses, List<Router.Node> nodes,
+                         DoublePredicate accuses) throws IOException, InterruptedException {
+        long from = System.nanoTime();
+        DoubleSupplier clock = () -> (System.nanoTime() - from) / NS_PER_MS;
+        List<String> seeds = addresses.stream().limit(SEEDS).map(SocketPeers::text).toList();
+        Options.Gossip options = new Options.Gossip(true, addresses.get(0).getAddress().getHostAddress() + ":0", seeds,
+                directory.resolve(LIAR + ".key").toString(), directory.resolve("gossip.ring").toString(), experiment.gossip().bytesPerS(),
+                VERIFICATIONS_PER_S, "");
+        GossipSocket socket;
+        try {
+            socket = GossipSocket.open(loop, clock, experiment.seed(), options, new GossipSocket.Hooks() {
+                @Override
+                public void standing(String node, boolean doubted) { }
+
+                @Override
+                public void event(String name, Object... fields) { }
+            });
+        } catch (KeyException e) {
+            throw new IOException(e.getMessage());
+        }
+        loop.execute(() -> socket.listed(Router.ListKind.FULL, nodes));
+        var lying = loop.scheduleAtFixedRate(() -> nodes.forEach(n -> socket.ended(n.id(),
+                accuses.test(clock.getAsDouble()) ? Router.Outcome.TIMEOUT : Router.Outcome.OK, 1)), 0, (long) LIE_EVERY_MS, TimeUnit.MILLISECONDS);
+        return () -> {
+            lying.cancel(false);
+            socket.close();
+        };
+    }
+
+    private static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
+    /** Each proxy gossips at the address of its clients, by UDP. */
+    static void write(Path directory, Experiment experiment, List<InetSocketAddress> addresses) throws IOException {
+        Path ring = directory.resolve("gossip.ring");
+        Files.deleteIfExists(ring);
+        List<String> texts = addresses.stream().map(SocketPeers::text).toList();
+        String seeds = texts.stream().limit(SEEDS).map(t -> '"' + t + '"').collect(Collectors.joining(", "));
+        key(LIAR, directory, ring);
+        for (int i = 0; i < addresses.size(); i++) {
+            Path key = key("proxy-" + i, directory, ring);
+            Files.writeString(options(directory, i), """
+                    [gossip]
+                    enabled = true
+                    listen = "%s"
+                    seeds = [%s]
+                    key_file = "%s"
+                    ring_file = "%s"
+                    bytes_per_s = %d
+                    """.formatted(texts.get(i), seeds, key, ring, experiment.gossip().bytesPerS()));
+        }
+    }
+
+    private static Path key(String name, Path directory, Path ring) throws IOException {
+        Path key = directory.resolve(name + ".key");
+        Files.deleteIfExists(key);
+        try {
+            KeyFiles.generate(name, key, ring);
+        } catch (KeyException e) {
+            throw new IOException(e.getMessage());
+        }
+        return key;
+    }
+}
--- a/src/main/java/hopglade/lab/sockets/SocketRun.java
+++ b/src/main/java/hopglade/lab/sockets/SocketRun.java
@@ -1,6 +1,7 @@
 package hopglade.lab.sockets;
 
 import com.google.gson.JsonObject;
+import hopglade.Router;
 import hopglade.lab.Draw;
 import hopglade.lab.Experiment;
 import hopglade.lab.Oracle;
@@ -180,9 +181,12 @@
         List<InetSocketAddress> addresses = new ArrayList<>();
         for (int i = 0; i < experiment.proxies().count(); i++) {
             InetAddress at = InetAddress.getByAddress(new byte[] {127, (byte) (64 + pid % 64), (byte) RUNS.incrementAndGet(), (byte) (10 + i)});
-            proxies.add(new ProxyProcess("proxy-" + i, at, directory, root, run));
+            proxies.add(new ProxyProcess("proxy-" + i, at, directory, root, experiment.gossip().enabled() ? SocketPeers.command(run, directory, i) : run));
             addresses.add(proxies.get(i).address);
         }
+        if (experiment.gossip().enabled()) {
+            SocketPeers.write(directory, experiment, addresses);
+        }
         clients = new Clients(clientGroup.next(), clock, experiment, load, ledger, addresses, plan.proxyZones());
         machines = new Machines(loop, clock, plan, world, effects, ledger, clients, writes, IDLE_MS,
                 Draw.generator(experiment.seed(), Draw.Stream.CLIENTS));
@@ -273,6 +277,8 @@
                 case PROXY_KILL -> eachProxy(this::kill);
                 case PROXY_HUP -> eachProxy(this::hup);
                 case PROXY_STOP -> eachProxy(this::stop);
+                case LIAR_ACCUSES, LIAR_PRAISES, LIAR_FLIPS -> lie();
+                case PROXY_BLIND, GOSSIP_CUT, GOSSIP_SPLIT, GOSSIP_LOSS, PROXY_CLOCK -> mark(fault.what().word() + " is not played on sockets");
                 default -> {
                     onLoop(() -> strikes.begin(fault, clock.now()));
                     if (fault.forS() > 0) {
@@ -282,6 +288,17 @@
             }
         }
 
+        private void lie() throws IOException, InterruptedException, ExecutionException {
+            if (!experiment.gossip().enabled()) {
+                return;
+            }
+            List<Router.Node> nodes = loop.submit((Callable<List<Entry>>) world::truth).get().stream()
+                    .filter(e -> !e.id().equals(plan.origin().id())).map(e -> ProxySettings.node(plan, e)).toList();
+            Runnable end = SocketPeers.liar(clientGroup.next(), directory, experiment, proxies.stream().map(p -> p.address).toList(), nodes,
+                    ms -> fault.what() == Fault.Kind.LIAR_ACCUSES || fault.what() == Fault.Kind.LIAR_FLIPS && (long) (ms / MS_PER_S) % 2 == 0);
+            atEnd(end);
+        }
+
         private void onLoop(Runnable act) {
             loop.execute(act);
         }
@@ -426,6 +443,9 @@
             progress.accept(now(level));
             Thread.sleep(LOOK_MS);
         }
+        if (experiment.gossip().enabled()) {
+            outside.put("gossip.bytes_per_s", proxies.stream().mapToDouble(ProxyProcess::gossipBytesPerS).max().orElse(0));
+        }
         outside.put("proxy.cpu_s", java.util.Arrays.stream(cpu).sum());
         outside.put("proxy.resident_mb_max", resident);
         outside.put("proxy.descriptors_max", (double) descriptors);
--- /dev/null
+++ b/src/main/java/hopglade/lab/virtual/VirtualPeers.java
@@ -0,0 +1,362 @@
+package hopglade.lab.virtual;
+
+import hopglade.Router.Node;
+import hopglade.Router.Outcome;
+import hopglade.lab.Draw;
+import hopglade.lab.Experiment;
+import hopglade.lab.faults.Fault;
+import hopglade.lab.faults.Fault.Kind;
+import hopglade.lab.ledger.Ledger;
+import hopglade.lab.ledger.Ledger.Attempt;
+import hopglade.lab.world.Installation;
+import hopglade.membership.Gossip;
+import hopglade.membership.Gossip.What;
+import hopglade.membership.Identity;
+import hopglade.membership.Member;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
+import org.apache.commons.math3.random.RandomGenerator;
+
+/**
+ * The proxies' gossip in virtual time: each proxy's {@link Gossip}, the links between them, clocks that are wrong, and liars. A
+ * liar runs the same code on what it pretends to have seen, so that its lies are as well signed as the truth.
+ */
+final class VirtualPeers {
+
+    private static final int SEEDS = 3;
+    private static final double HOUR_MS = 3_600_000;
+    private static final double MS_PER_S = 1000;
+    /** Added to each UDP payload to get what the wire carries: the headers of UDP and IPv4. */
+    private static final int HEADERS = 28;
+    private static final double LATE_MS = 400;
+    private static final int VERIFICATIONS_PER_S = 400;
+    private static final int MOST_MARKS = 100;
+    private static final double LIE_EVERY_MS = 250;
+
+    /** One proxy's gossip in one life. */
+    private final class Voice implements Gossip.Actions {
+        final VirtualProxy proxy;
+        final Gossip gossip;
+        final double bornAt = agenda.now();
+        List<Node> nodes = List.of();
+        boolean over;
+
+        Voice(VirtualProxy proxy, int life) {
+            this.proxy = proxy;
+            List<String> seeds = new ArrayList<>();
+            for (int i = 0; i < Math.min(SEEDS, experiment.proxies().count()); i++) {
+                seeds.add(address(i));
+            }
+            gossip = new Gossip(new Gossip.Settings(address(proxy.index), seeds, experiment.gossip().bytesPerS(), VERIFICATIONS_PER_S),
+                    new Named("proxy-" + proxy.index), experiment.seed() * 131 + proxy.index * 7919L + life);
+        }
+
+        void tick() {
+            if (!over) {
+                gossip.tick(clock(proxy.index), this);
+                agenda.in(Gossip.TICK_MS, this::tick);
+            }
+        }
+
+        @Override
+        public void send(String to, byte[] packet) {
+            int second = (int) (agenda.now() / MS_PER_S);
+            if (second < bytes[proxy.index].length) {
+                bytes[proxy.index][second] += packet.length + HEADERS;
+            }
+            carry(proxy.index, Integer.parseInt(to.substring(1)), packet);
+        }
+
+        @Override
+        public void standing(String node, boolean doubted) {
+            if (doubted) {
+                doubts++;
+                falseDoubts += bad.test(node) ? 0 : 1;
+                firstDoubt.putIfAbsent(node, agenda.now());
+                lastDoubt.merge(node, agenda.now(), Math::max);
+            }
+            proxy.standing(node, doubted);
+        }
+
+        @Override
+        public void event(What what, String subject, String evidence) {
+            events.merge(what, 1, Integer::sum);
+            if (what == What.DIED && killed.containsKey(subject)) {
+                known.merge(subject, agenda.now() - killed.get(subject), Math::max);
+            }
+            if (what != What.MEMBER && marks++ < MOST_MARKS) {
+                mark.accept("proxy-" + proxy.index + " " + what.name().toLowerCase(java.util.Locale.ROOT) + " " + subject + " " + evidence);
+            }
+        }
+    }
+
+    /** Signs by a hash that depends on the name: as long as a true signature, and forged by nobody here. */
+    private record Named(String name) implements Identity {
+
+        @Override
+        public int keyId() {
+            return 1;
+        }
+
+        @Override
+        public byte[] sign(byte[] data, int length) {
+            return signature(name, data, length);
+        }
+
+        private static byte[] signature(String by, byte[] data, int length) {
+            long hash = by.hashCode();
+            for (int i = 0; i < length; i++) {
+                hash = (hash ^ data[i]) * 0x100000001b3L;
+            }
+            return ByteBuffer.allocate(SIGNATURE_BYTES).putLong(hash).array();
+        }
+
+        @Override
+        public boolean knows(String other, int keyId) {
+            return true;
+        }
+
+        @Override
+        public boolean verify(String by, int keyId, byte[] data, int length, byte[] signature) {
+            return Arrays.equals(signature, signature(by, data, length));
+        }
+
+        @Override
+        public boolean verify(String by, byte[] data, byte[] signature) {
+            return verify(by, 1, data, data.length, signature);
+        }
+    }
+
+    private final Experiment experiment;
+    private final Installation plan;
+    private final Agenda agenda;
+    private final Consumer<String> mark;
+    private final Predicate<String> bad;
+    private final RandomGenerator random;
+    private final Voice[] voices;
+    private final int[][] bytes;
+    /** Of each proxy's clock: what it showed when it last changed its pace, when that was, and the pace. */
+    private final double[] shown;
+    private final double[] changedAt;
+    private final double[] pace;
+    private final double[] cutUntil;
+    private final int[] part;
+    private double splitUntil;
+    private double lossyUntil;
+    private double lossy;
+    private final Kind[] lies;
+    private final Map<String, Double> killed = new HashMap<>();
+    private final Map<String, Double> known = new HashMap<>();
+    private final Map<String, Double> firstDoubt = new HashMap<>();
+    private final Map<String, Double> lastDoubt = new HashMap<>();
+    private final Map<What, Integer> events = new HashMap<>();
+    private int doubts;
+    private int falseDoubts;
+    private int marks;
+    private double learnedMs;
+
+    /** {@code bad} tells whether a node truly is dead or silent now. */
+    VirtualPeers(Experiment experiment, Installation plan, Agenda agenda, Consumer<String> mark, Predicate<String> bad) {
+        this.experiment = experiment;
+        this.plan = plan;
+        this.agenda = agenda;
+        this.mark = mark;
+        this.bad = bad;
+        this.random = Draw.generator(experiment.seed(), Draw.Stream.GOSSIP);
+        int count = experiment.proxies().count();
+        voices = new Voice[count];
+        bytes = new int[count][(int) Math.ceil(experiment.durationS())];
+        shown = new double[count];
+        changedAt = new double[count];
+        pace = new double[count];
+        Arrays.fill(pace, 1);
+        cutUntil = new double[count];
+        part = new int[count];
+        lies = new Kind[count];
+    }
+
+    private static String address(int proxy) {
+        return "p" + proxy;
+    }
+
+    private double clock(int proxy) {
+        return shown[proxy] + (agenda.now() - changedAt[proxy]) * pace[proxy];
+    }
+
+    /** A proxy starts, knowing these nodes; without gossip nothing of it is made. */
+    void born(VirtualProxy proxy, int life, Supplier<List<Node>> nodes) {
+        if (experiment.gossip().enabled()) {
+            Voice voice = new Voice(proxy, life);
+            voices[proxy.index] = voice;
+            listed(proxy.index, nodes);
+            voice.gossip.start(clock(proxy.index), voice);
+            agenda.in(random.nextDouble() * Gossip.TICK_MS, voice::tick);
+            if (voice.bornAt > 0) {
+                agenda.in(1, () -> learned(voice));
+            }
+        }
+    }
+
+    /** Looks until a proxy that came back knows all that are there. */
+    private void learned(Voice voice) {
+        long alive = Arrays.stream(voices).filter(v -> v != null && !v.over).count();
+        if (voice.gossip.table().stream().filter(Member::present).count() >= alive) {
+            learnedMs = Math.max(learnedMs, agenda.now() - voice.bornAt);
+        } else if (!voice.over) {
+            agenda.in(10, () -> learned(voice));
+        }
+    }
+
+    void died(int proxy) {
+        if (voices[proxy] != null) {
+            voices[proxy].over = true;
+            killed.put("proxy-" + proxy, agenda.now());
+        }
+    }
+
+    void listed(int proxy, Supplier<List<Node>> nodes) {
+        if (voices[proxy] != null) {
+            voices[proxy].nodes = nodes.get();
+            voices[proxy].gossip.nodes(voices[proxy].nodes);
+        }
+    }
+
+    void seen(VirtualProxy proxy, String node, Outcome outcome, double elapsedMs, boolean probe) {
+        Voice voice = voices[proxy.index];
+        if (voice == null || voice.proxy != proxy) {
+            return;
+        }
+        double now = clock(proxy.index);
+        if (lies[proxy.index] != null) {
+            return;
+        }
+        if (probe) {
+            voice.gossip.probed(now, node, outcome, voice);
+        } else {
+            voice.gossip.ended(now, node, outcome, elapsedMs);
+        }
+    }
+
+    void sent(VirtualProxy proxy, String node) {
+        Voice voice = voices[proxy.index];
+        if (voice != null && voice.proxy == proxy && lies[proxy.index] == null) {
+            voice.gossip.sent(clock(proxy.index), node);
+        }
+    }
+
+    private void carry(int from, int to, byte[] packet) {
+        double now = agenda.now();
+        boolean cut = now < cutUntil[from] || now < cutUntil[to] || now < splitUntil && part[from] != part[to];
+        boolean trouble = now < lossyUntil;
+        if (cut || voices[to] == null || trouble && random.nextDouble() < lossy) {
+            return;
+        }
+        double delay = plan.delayMs(from, plan.proxyZones().get(to));
+        int copies = trouble && random.nextDouble() < lossy ? 2 : 1;
+        for (int i = 0; i < copies; i++) {
+            double late = trouble && random.nextDouble() < lossy ? random.nextDouble() * LATE_MS : 0;
+            agenda.in(delay + late, () -> {
+                Voice voice = voices[to];
+                if (!voice.over) {
+                    voice.gossip.received(clock(to), address(from), packet, voice);
+                }
+            });
+        }
+    }
+
+    /** Begins a fault of the proxies' gossip. */
+    void begin(Fault fault) {
+        if (fault.what() == Kind.GOSSIP_LOSS) {
+            lossy = fault.share();
+            lossyUntil = fault.endMs();
+        }
+        if (fault.what() == Kind.GOSSIP_SPLIT) {
+            splitUntil = fault.endMs();
+        }
+        for (int i = 0; i < voices.length; i++) {
+            int proxy = i;
+            boolean struck = !fault.target().isEmpty() && fault.strikes("proxy-", i, voices.length);
+            switch (fault.what()) {
+                case GOSSIP_CUT -> cutUntil[i] = struck ? fault.endMs() : cutUntil[i];
+                case GOSSIP_SPLIT -> part[i] = struck ? 1 : 0;
+                case PROXY_CLOCK -> {
+                    if (struck) {
+                        set(i, HOUR_MS, fault.factor());
+                        agenda.at(fault.endMs(), () -> set(proxy, 0, 1));
+                    }
+                }
+                case LIAR_ACCUSES, LIAR_PRAISES, LIAR_FLIPS -> {
+                    if (struck) {
+                        lies[i] = fault.what();
+                        lie(i, fault);
+                        agenda.at(fault.endMs(), () -> lies[proxy] = null);
+                    }
+                }
+                default -> { }
+            }
+        }
+    }
+
+    private void set(int proxy, double aheadMs, double nextPace) {
+        shown[proxy] = clock(proxy) + aheadMs;
+        changedAt[proxy] = agenda.now();
+        pace[proxy] = nextPace;
+    }
+
+    private void lie(int proxy, Fault fault) {
+        Voice voice = voices[proxy];
+        if (lies[proxy] == null || !fault.at(agenda.now())) {
+            return;
+        }
+        boolean accuses = fault.what() == Kind.LIAR_ACCUSES || fault.what() == Kind.LIAR_FLIPS && (long) (agenda.now() / MS_PER_S) % 2 == 0;
+        if (voice != null && !voice.over) {
+            for (Node n : voice.nodes) {
+                voice.gossip.ended(clock(proxy), n.id(), accuses ? Outcome.TIMEOUT : Outcome.OK, 1);
+            }
+        }
+        agenda.in(LIE_EVERY_MS, () -> lie(proxy, fault));
+    }
+
+    /** What it came to; empty without gossip, but for where requests went. */
+    Map<String, Double> figures(List<VirtualProxy> alive, Ledger ledger) {
+        Map<String, Double> figures = new TreeMap<>();
+        if (plan.nodes().size() <= 20) {
+            plan.nodes().forEach(n -> figures.put("sent." + n.id(), 0.0));
+            ledger.attempts().stream().filter(a -> !a.origin).map((Attempt a) -> a.machine).forEach(m -> figures.merge("sent." + m, 1.0, Double::sum));
+        }
+        if (!experiment.gossip().enabled()) {
+            return figures;
+        }
+        double seconds = experiment.durationS();
+        figures.put("gossip.bytes_per_s", Arrays.stream(bytes).mapToDouble(b -> Arrays.stream(b).sum() / seconds).max().orElse(0));
+        figures.put("gossip.bytes_per_s_peak", (double) Arrays.stream(bytes).flatMapToInt(Arrays::stream).max().orElse(0));
+        figures.put("gossip.doubts", (double) doubts);
+        figures.put("gossip.false_doubts", (double) falseDoubts);
+        figures.put("gossip.distrusts", (double) events.getOrDefault(What.DISTRUSTED, 0));
+        figures.put("gossip.held_back", Arrays.stream(voices).filter(v -> v != null).mapToDouble(v -> v.gossip.counts().heldBack()).sum());
+        figures.put("gossip.replays_refused", Arrays.stream(voices).filter(v -> v != null).mapToDouble(v -> v.gossip.counts().replayed()).sum());
+        figures.put("gossip.verified_per_s", Arrays.stream(voices).filter(v -> v != null)
+                .mapToDouble(v -> v.gossip.counts().verified() / Math.max(1, (agenda.now() - v.bornAt) / MS_PER_S)).max().orElse(0));
+        figures.put("gossip.death_known_ms", known.values().stream().mapToDouble(d -> d).max().orElse(0));
+        figures.put("gossip.doubt_spread_ms", firstDoubt.keySet().stream().mapToDouble(n -> lastDoubt.get(n) - firstDoubt.get(n)).max().orElse(0));
+        figures.put("gossip.learned_ms_max", learnedMs);
+        int most = alive.size();
+        List<String> present = alive.stream().map(p -> "proxy-" + p.index).toList();
+        double least = most;
+        for (VirtualProxy p : alive) {
+            List<String> seen = voices[p.index].gossip.table().stream().filter(Member::present).map(Member::name).toList();
+            least = Math.min(least, present.stream().filter(seen::contains).count());
+            figures.merge("gossip.ghosts", (double) seen.stream().filter(n -> !present.contains(n)).count(), Math::max);
+        }
+        figures.put("gossip.known_share", most == 0 ? 1 : least / most);
+        return figures;
+    }
+}
--- a/src/main/java/hopglade/lab/virtual/VirtualProxy.java
+++ b/src/main/java/hopglade/lab/virtual/VirtualProxy.java
@@ -32,6 +32,12 @@
 
         /** The proxy gives an attempt up: nothing of it is heard any more. */
         void abandon(VirtualProxy from, String request, int attempt);
+
+        /** Asks a node whether it is alive; the end comes once, by {@link #probed}. */
+        void probe(VirtualProxy from, String node);
+
+        /** What the proxy's gossip is told of its attempts and probes. */
+        void seen(VirtualProxy from, String node, Outcome outcome, double elapsedMs, boolean probe);
     }
 
     private static final int OK = 200;
@@ -183,9 +189,22 @@
         if (call != null && call.over && call.out < 0) {
             calls.remove(id, call);
         }
+        network.seen(this, node, outcome, elapsedMs, false);
         tell(() -> router.attemptEnded(agenda.now(), new AttemptEnd(id, attempt, node, outcome, elapsedMs, finished, note, Map.of()), this));
     }
 
+    void probed(String node, Outcome outcome, double elapsedMs) {
+        if (stopped(() -> probed(node, outcome, elapsedMs))) {
+            return;
+        }
+        network.seen(this, node, outcome, elapsedMs, true);
+        tell(() -> router.probed(agenda.now(), node, outcome, elapsedMs, Map.of(), this));
+    }
+
+    void standing(String node, boolean doubted) {
+        tell(() -> router.standing(agenda.now(), node, doubted, this));
+    }
+
     private void tell(Runnable event) {
         if (dead) {
             return;
@@ -274,6 +293,11 @@
         });
     }
 
+    @Override
+    public void probe(String node) {
+        wishes.add(() -> network.probe(this, node));
+    }
+
     @Override
     public void cancel(String request, int attempt) {
         wishes.add(() -> {
--- a/src/main/java/hopglade/lab/virtual/VirtualRun.java
+++ b/src/main/java/hopglade/lab/virtual/VirtualRun.java
@@ -53,6 +53,8 @@
     private static final double CONNECT_MS = 100;
     private static final double MS_PER_S = 1000;
     private static final double FRONT_MS = 300;
+    /** How long a proxy waits for a probe's answer, as on sockets. */
+    private static final double PROBE_MS = 2 * CONNECT_MS;
     /** How long a proxy's start takes before it serves. */
     private static final double START_MS = 1200;
     private static final double SETTLE_MS = 500;
@@ -89,10 +91,12 @@
     private final Map<String, Double> silentUntil = new HashMap<>();
     private final Map<String, First> asked = new HashMap<>();
     private final double[] cutUntil;
+    private final double[] blindUntil;
     private final int[] levels;
     private final List<Mark> marks = new ArrayList<>();
     private final List<Violation> seen = new ArrayList<>();
     private final Story[] stories;
+    private final VirtualPeers peers;
     private long attempts;
     private int connections;
     private int lives;
@@ -135,9 +139,11 @@
         this.random = Draw.generator(experiment.seed(), Draw.Stream.CLIENTS);
         this.front = new Front(plan.proxyZones());
         this.cutUntil = new double[plan.zones().size()];
+        this.blindUntil = new double[experiment.proxies().count()];
         this.levels = new int[(int) Math.ceil(experiment.durationS())];
         this.zones = plan.machineZones();
         this.stories = new Story[load.firsts().size()];
+        this.peers = new VirtualPeers(experiment, plan, agenda, this::mark, node -> !world.alive(node) || agenda.now() < silentUntil.getOrDefault(node, 0.0));
     }
 
     private final class Acts implements World.Effects {
@@ -155,6 +161,7 @@
                     ledger.told(new Ledger.Told(proxy, e.id(), e.health(), e.startedAt(), agenda.now()));
                 }
             }
+            peers.listed(proxy, () -> serving(proxy));
             proxies.get(proxy).nodes(ListKind.CHANGES, version, entries.stream().map(VirtualRun.this::node).toList());
         }
 
@@ -185,6 +192,10 @@
         }
     }
 
+    private List<Node> serving(int proxy) {
+        return lists.get(proxy).values().stream().filter(e -> e.health() == Health.UP && !e.id().equals(plan.origin().id())).map(this::node).toList();
+    }
+
     private void mark(String what) {
         marks.add(new Mark(Math.round(agenda.now()) / MS_PER_S, what));
     }
@@ -245,6 +256,7 @@
         var settings = ProxySettings.read(experiment, plan, index, IDLE_MS, CONNECT_MS);
         long seed = experiment.seed() * 31 + index * 7919L + lives++;
         VirtualProxy proxy = new VirtualProxy(index, agenda, settings, maker.make(settings, seed), new Wires());
+        peers.born(proxy, lives, () -> serving(index));
         proxy.start(lists.get(index).values().stream().filter(e -> e.health() != Health.REMOVED).map(this::node).toList());
         return proxy;
     }
@@ -321,6 +333,9 @@
     }
 
     private boolean silent(int proxy, String machine) {
+        if (agenda.now() < blindUntil[proxy]) {
+            return true;
+        }
         int here = plan.proxyZones().get(proxy);
         int there = zone(machine);
         return agenda.now() < silentUntil.getOrDefault(machine, 0.0)
@@ -330,6 +345,7 @@
     private final class Wires implements VirtualProxy.Network {
         @Override
         public void send(VirtualProxy from, String request, int number, String node, double waitMs) {
+            peers.sent(from, node);
             double delay = plan.delayMs(from.index, zone(node));
             Deque<Double> kept = idle(from, node);
             while (!kept.isEmpty() && kept.peekFirst() < agenda.now() - IDLE_MS) {
@@ -379,6 +395,19 @@
             });
         }
 
+        @Override
+        public void probe(VirtualProxy from, String node) {
+            boolean silent = silent(from.index, node);
+            boolean alive = world.alive(node);
+            double takes = silent ? PROBE_MS : 2 * plan.delayMs(from.index, zone(node));
+            agenda.in(takes, () -> from.probed(node, silent ? Outcome.TIMEOUT : alive ? Outcome.OK : Outcome.CONNECT_FAILED, takes));
+        }
+
+        @Override
+        public void seen(VirtualProxy from, String node, Outcome outcome, double elapsedMs, boolean probe) {
+            peers.seen(from, node, outcome, elapsedMs, probe);
+        }
+
         @Override
         public void abandon(VirtualProxy from, String request, int number) {
             Out o = byTry.get(request);
@@ -472,6 +501,8 @@
                 ledger.excuse(new Ledger.Excuse(i, agenda.now(), fault.endMs() + SETTLE_MS, "SIGSTOP"));
                 proxies.get(i).stop(fault.endMs());
             });
+            case PROXY_BLIND -> each(fault, i -> blindUntil[i] = fault.endMs());
+            case GOSSIP_CUT, GOSSIP_SPLIT, GOSSIP_LOSS, LIAR_ACCUSES, LIAR_PRAISES, LIAR_FLIPS, PROXY_CLOCK -> peers.begin(fault);
             case PROXY_HUP -> mark("proxy-hup changes nothing in virtual time");
             case HOSTILE -> mark("hostile peers are not played in virtual time");
             default -> throw new IllegalStateException("no such fault: " + fault.what());
@@ -509,6 +540,7 @@
             ledger.excuse(new Ledger.Excuse(index, agenda.now(), agenda.now(), "it ended"));
         }
         old.die();
+        peers.died(index);
         agenda.in(experiment.proxies().noticeS() * MS_PER_S, () -> {
             if (proxies.get(index).dead()) {
                 front.inService(index, false);
@@ -531,11 +563,12 @@
         List<VirtualProxy> alive = proxies.stream().filter(p -> !p.dead()).toList();
         alive.stream().filter(p -> p.owed() > 0).forEach(p -> seen.add(new Violation(Rule.ONE_ANSWER, "proxy-" + p.index, agenda.now(),
                 p.owed() + " requests are still owed an answer")));
-        Map<String, Double> own = Map.of("proxy.table_max", (double) largestTable,
+        Map<String, Double> own = new TreeMap<>(Map.of("proxy.table_max", (double) largestTable,
                 "proxy.entries_left", alive.stream().mapToDouble(VirtualProxy::entries).max().orElse(0),
                 "proxy.backstops", proxies.stream().mapToDouble(VirtualProxy::backstops).sum(),
                 "proxy.timers_left", alive.stream().mapToDouble(VirtualProxy::timers).max().orElse(0),
-                "machines.connections_opened", (double) connections);
+                "machines.connections_opened", (double) connections));
+        own.putAll(peers.figures(alive, ledger));
         return new Played(experiment, "virtual", plan, load, ledger, told, levels, marks, seen).judged(own);
     }
 }
--- a/src/main/java/hopglade/proxy/Proxy.java
+++ b/src/main/java/hopglade/proxy/Proxy.java
@@ -47,6 +47,17 @@
         void failed();
     }
 
+    /** Who shares with other proxies what this one sees of the nodes; told of it on the event loop. */
+    interface Watch {
+        void listed(ListKind kind, List<Router.Node> nodes);
+
+        void sent(String node);
+
+        void ended(String node, Outcome outcome, double elapsedMs);
+
+        void probed(String node, Outcome outcome);
+    }
+
     /** A request as it goes on to nodes. {@code key} and {@code contentType} are null where it has none. */
     record Payload(HttpMethod method, String uri, byte[] body, String key, String contentType) { }
 
@@ -80,6 +91,8 @@
     private final Tally tally = new Tally();
     private Runnable subscribe = () -> { };
     private Consumer<byte[]> tell = contents -> { };
+    /** Null where nothing is shared. */
+    private Watch watch;
     private boolean telling;
     private int owed;
     private String origin = "";
@@ -99,6 +112,11 @@
         tell = tellsPeers;
     }
 
+    /** Names who is told of what this proxy sees; before {@link #start}. */
+    void watch(Watch watching) {
+        watch = watching;
+    }
+
     void start(HostList known) {
         tell(now -> router.started(now, this), () -> { });
         if (known != null) {
@@ -130,6 +148,9 @@
         list.nodes().stream().filter(n -> n.model() != null && n.model().equals(settings.originModel()))
                 .forEach(n -> origin = n.id());
         pool.list(list);
+        if (watch != null) {
+            watch.listed(kind, list.nodes().stream().filter(n -> !n.id().equals(origin)).toList());
+        }
         tell(now -> router.nodes(now, kind, list.version(), list.nodes(), this), () -> { });
     }
 
@@ -137,6 +158,11 @@
         tell(now -> router.nodes(now, ListKind.REFUSED, 0, List.of(), this), () -> { });
     }
 
+    /** Peers doubt a node, or no longer do. */
+    void standing(String node, boolean doubted) {
+        tell(now -> router.standing(now, node, doubted, this), () -> { });
+    }
+
     void peerMessage(int from, byte[] contents) {
         tell(now -> router.peerMessage(now, from, contents, this), () -> { });
     }
@@ -180,6 +206,9 @@
             settle(call);
             call.client.served(response);
         }
+        if (watch != null && !node.equals(origin)) {
+            watch.ended(node, outcome, clock.now() - sentAt);
+        }
         report(call.in.id(), call, attempt, node, outcome, clock.now() - sentAt, note(response));
     }
 
@@ -383,6 +412,9 @@
         double giveUp = now + wait;
         Attempt out = new Attempt();
         call.out = out;
+        if (watch != null && !node.equals(origin)) {
+            watch.sent(node);
+        }
         out.exchange = pool.send(node, () -> call.toNode(giveUp - clock.now()), wait,
                 (exchange, outcome, response) -> ended(call, attempt, node, now, outcome, response));
     }
@@ -401,6 +433,9 @@
         pool.send(node, () -> new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/alive"),
                 settings.limits().connectTimeoutMs() * 2, (exchange, outcome, response) -> {
                     double elapsed = clock.now() - now;
+                    if (watch != null) {
+                        watch.probed(node, outcome);
+                    }
                     tell(at -> router.probed(at, node, outcome, elapsed, Map.of(), this), () -> { });
                 });
     }
--- a/src/main/java/hopglade/proxy/Service.java
+++ b/src/main/java/hopglade/proxy/Service.java
@@ -7,6 +7,9 @@
 import hopglade.Router.Settings;
 import hopglade.config.BadFileException;
 import hopglade.config.Options;
+import hopglade.gossip.GossipSocket;
+import hopglade.gossip.KeyException;
+import hopglade.membership.Gossip;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -14,6 +17,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.RejectedExecutionException;
@@ -62,6 +66,9 @@
     private final ClientServer clients;
     private final Discovery discovery;
     private final Peers peers;
+    private final Clock clock = new Clock();
+    /** Null where this proxy shares nothing. */
+    private GossipSocket gossip;
     private InetSocketAddress listening;
     private String state = "";
     private OptionsSource options = () -> Options.DEFAULTS;
@@ -75,7 +82,7 @@
         pool = new NodePool(loop, Transport.TCP, settings.limits().connectTimeoutMs(), settings.connections().idleMs(),
                 Math.max(1, sockets - clientSockets));
         pool.serve(settings.classes());
-        proxy = new Proxy(loop, new Clock(), settings, router, pool, config.maxOpen());
+        proxy = new Proxy(loop, clock, settings, router, pool, config.maxOpen());
         clients = new ClientServer(loop, proxy, settings, clientSockets);
         discovery = new Discovery(loop, config.discovery(), proxy, config.known(), !settings.mustSubscribe(),
                 clients::ready);
@@ -91,7 +98,7 @@
         Hangup.handle(() -> { });
         Config config = Config.parse(REHEARSED, Map.of());
         Warmup.run(config.settings(), config.peerListen(), null);
-        Service service = start(config, new Decide(config.settings(), config.seed()));
+        Service service = start(config, new Decide(config.settings(), config.seed()), Options.DEFAULTS.gossip());
         service.beginDrain();
         service.endDrain();
         service.awaitEnd();
@@ -123,22 +130,70 @@
     }
 
     /** Starts a proxy with the project's decisions. */
-    public static Service start(Config config) throws IOException, InterruptedException {
+    public static Service start(Config config, Options options) throws IOException, InterruptedException, ConfigException {
         Warmup.run(config.settings(), config.peerListen(), config.known());
-        return start(config, new Decide(config.settings(), config.seed()));
+        return start(config, new Decide(config.settings(), config.seed()), options.gossip());
     }
 
-    static Service start(Config config, Router router) throws IOException, InterruptedException {
+    static Service start(Config config, Router router) throws IOException, InterruptedException, ConfigException {
+        return start(config, router, Options.DEFAULTS.gossip());
+    }
+
+    static Service start(Config config, Router router, Options.Gossip gossip) throws IOException, InterruptedException, ConfigException {
         Service service = new Service(config, router);
         try {
+            if (gossip.enabled()) {
+                service.join(gossip);
+            }
             service.open();
-        } catch (IOException e) {
+        } catch (IOException | ConfigException e) {
             service.group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
             throw e;
         }
         return service;
     }
 
+    /** Before the list is known and the first client comes: what the others know is then part of the first decisions. */
+    private void join(Options.Gossip options) throws IOException, InterruptedException, ConfigException {
+        try {
+            gossip = GossipSocket.open(loop, clock::now, config.seed(), options, new GossipSocket.Hooks() {
+                @Override
+                public void standing(String node, boolean doubted) {
+                    proxy.standing(node, doubted);
+                }
+
+                @Override
+                public void event(String name, Object... fields) {
+                    Log.event(name, fields);
+                }
+            });
+        } catch (KeyException e) {
+            throw new ConfigException("gossip: " + e.getMessage());
+        }
+        GossipSocket shared = gossip;
+        loop.submit(() -> proxy.watch(new Proxy.Watch() {
+            @Override
+            public void listed(Router.ListKind kind, List<Router.Node> nodes) {
+                shared.listed(kind, nodes);
+            }
+
+            @Override
+            public void sent(String node) {
+                shared.sent(node);
+            }
+
+            @Override
+            public void ended(String node, Outcome outcome, double elapsedMs) {
+                shared.ended(node, outcome, elapsedMs);
+            }
+
+            @Override
+            public void probed(String node, Outcome outcome) {
+                shared.probed(node, outcome);
+            }
+        })).sync();
+    }
+
     private void open() throws IOException, InterruptedException {
         Log.event("known", "version", config.known() == null ? 0 : config.known().version(),
                 "hosts", config.known() == null ? 0 : config.known().hosts().size());
@@ -191,6 +246,11 @@
             Log.event("reloaded", "discovery", next.discovery());
             configure(more);
             discovery.moveTo(next.discovery());
+            if (gossip != null) {
+                gossip.reload();
+            }
+        } catch (KeyException e) {
+            Log.event("reload_refused", "cause", "gossip: " + e.getMessage());
         } catch (ConfigException | BadFileException e) {
             Log.event("reload_refused", "cause", e.getMessage());
         }
@@ -213,6 +273,9 @@
     /** Still serves whoever comes; those that come only now for the last time. */
     void beginDrain() {
         Log.event("draining");
+        if (gossip != null) {
+            loop.execute(gossip::leave);
+        }
         loop.execute(clients::drain);
     }
 
@@ -235,6 +298,9 @@
             loop.schedule(this::finish, DRAIN_POLL_MS, TimeUnit.MILLISECONDS);
         } else {
             logTally();
+            if (gossip != null) {
+                gossip.close();
+            }
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS).addListener(f -> ended.countDown());
         }
     }
@@ -249,6 +315,11 @@
         Log.event("tally", "requests", t.requests, "served", t.served, "refused", t.refused, "failed", t.failed,
                 "gone", t.gone, "owed", proxy.owed(), "clients", clients.connections(), "nodes", pool.connections(),
                 "look_ups", counts(t.lookUps), "fetches", counts(t.fetches));
+        if (gossip != null) {
+            Gossip.Counts c = gossip.counts();
+            Log.event("gossip_tally", "sent", c.sent(), "bytes", c.sentBytes(), "received", c.received(), "rubbish", c.rubbish(),
+                    "replayed", c.replayed(), "verified", c.verified(), "held_back", c.heldBack());
+        }
     }
 
     private static String counts(int[] outcomes) {
--- /dev/null
+++ b/src/test/java/hopglade/lab/virtual/GossipDaysTest.java
@@ -0,0 +1,68 @@
+package hopglade.lab.virtual;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import hopglade.lab.ExperimentFile;
+import hopglade.lab.report.Results;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** Whole days of fleets that gossip, beside the same days of fleets that don't. */
+class GossipDaysTest {
+
+    private static Results play(String name, Map<String, String> set) throws Exception {
+        return new VirtualRun(ExperimentFile.read(Path.of("experiments", name + ".toml"), set)).play();
+    }
+
+    private static Results without(String name, Map<String, String> set) throws Exception {
+        Map<String, String> off = new HashMap<>(set);
+        off.put("gossip.enabled", "false");
+        return play(name, off);
+    }
+
+    @Test
+    void healthyNodesKeepTheirShareUnderALiarAndABlindPeer() throws Exception {
+        for (String seed : List.of("1", "2")) {
+            Results with = play("gossip-liars", Map.of("seed", seed));
+            Results off = without("gossip-liars", Map.of("seed", seed));
+            assertEquals(List.of(), with.violations());
+            off.figures().forEach((figure, sent) -> {
+                if (figure.startsWith("sent.")) {
+                    assertTrue(with.figures().get(figure) >= 0.95 * sent, figure + ": " + sent + " to " + with.figures().get(figure));
+                }
+            });
+            assertTrue(with.figures().get("gossip.distrusts") >= 8, "the liar is found out");
+        }
+    }
+
+    @Test
+    void aNodeThatFallsSilentCostsFarFewerRequests() throws Exception {
+        Results with = play("gossip-silent", Map.of("duration_s", "40", "seed", "3", "fault", faults()));
+        Results off = without("gossip-silent", Map.of("duration_s", "40", "seed", "3", "fault", faults()));
+        assertEquals(List.of(), with.violations());
+        double before = off.figures().get("served.late_or_not_share");
+        double now = with.figures().get("served.late_or_not_share");
+        assertTrue(before > 0.002, "the day is a bad one without gossip: " + before);
+        assertTrue(now <= 0.6 * before, before + " to " + now);
+        assertEquals(off.figures().get("load.requests"), with.figures().get("load.requests"));
+    }
+
+    private static String faults() {
+        return "[{what = \"node-silent\", node = \"node-1\", at_s = 12, for_s = 8}, {what = \"node-silent\", node = \"node-4\", at_s = 25, for_s = 8}]";
+    }
+
+    @Test
+    void aDayOfGossipIsTheSameByteForByteAndLeavesNothingBehind() throws Exception {
+        Results day = play("gossip-five", Map.of());
+        assertEquals(day.json(), play("gossip-five", Map.of()).json());
+        assertEquals(List.of(), day.violations());
+        assertEquals(1.0, day.figures().get("gossip.known_share"));
+        assertEquals(0.0, day.figures().get("gossip.ghosts"));
+        assertTrue(day.figures().get("gossip.learned_ms_max") <= 2000);
+        assertTrue(day.figures().get("gossip.bytes_per_s_peak") <= 4096);
+    }
+}
--- a/src/test/java/hopglade/lab/virtual/TiesTest.java
+++ b/src/test/java/hopglade/lab/virtual/TiesTest.java
@@ -61,6 +61,12 @@
         public void abandon(VirtualProxy from, String request, int attempt) {
             abandoned++;
         }
+
+        @Override
+        public void probe(VirtualProxy from, String node) { }
+
+        @Override
+        public void seen(VirtualProxy from, String node, Outcome outcome, double elapsedMs, boolean probe) { }
     }
 
     @ParameterizedTest
