Load nothing of gossip where it is off, and hold that by a rule

The service named two of gossip's classes, so every start loaded them. One class of the proxy, Sharing, now stands between the two and is loaded only where gossip is on; ArchUnit rules keep it so, and keep membership free of I/O, clocks and threads. Key files and rings are read by one piece of code.

--- a/src/main/java/hopglade/gossip/KeyFiles.java
+++ b/src/main/java/hopglade/gossip/KeyFiles.java
@@ -56,27 +56,15 @@
         }
     }
 
+    private interface Maker<T> {
+        T make(String name, String[] words) throws GeneralSecurityException;
+    }
+
     /** A proxy's keys, the one that signs first; refused where others than the owner may read or write the file. */
     public static List<Own> own(Path file) throws KeyException {
         refuse(file, OTHERS, "only its owner may read and write it: chmod 600");
-        List<Own> keys = new ArrayList<>();
-        int number = 0;
-        for (String line : lines(file)) {
-            number++;
-            String[] words = words(line);
-            if (words.length == 0) {
-                continue;
-            }
-            if (words.length != 3 || !NAME.matcher(words[0]).matches()) {
-                throw new KeyException(file + ":" + number + ": not a key: NAME PRIVATE PUBLIC is expected");
-            }
-            try {
-                PrivateKey secret = KeyFactory.getInstance(ALGORITHM).generatePrivate(new PKCS8EncodedKeySpec(Base64.getDecoder().decode(words[1])));
-                keys.add(new Own(words[0], secret, open(words[2])));
-            } catch (GeneralSecurityException | IllegalArgumentException e) {
-                throw new KeyException(file + ":" + number + ": not an " + ALGORITHM + " key");
-            }
-        }
+        List<Own> keys = read(file, "NAME PRIVATE PUBLIC", (name, words) -> new Own(name, KeyFactory.getInstance(ALGORITHM)
+                .generatePrivate(new PKCS8EncodedKeySpec(Base64.getDecoder().decode(words[1]))), open(words[2])));
         if (keys.isEmpty() || keys.stream().anyMatch(k -> !k.name().equals(keys.get(0).name()))) {
             throw new KeyException(file + ": " + (keys.isEmpty() ? "holds no key" : "holds keys of two names"));
         }
@@ -86,7 +74,15 @@
     /** A ring's keys; refused where others than its owner may write it. */
     public static List<Trusted> ring(Path file) throws KeyException {
         refuse(file, OTHERS_WRITE, "only its owner may write it: chmod go-w");
-        List<Trusted> keys = new ArrayList<>();
+        return read(file, "NAME PUBLIC", (name, words) -> {
+            PublicKey open = open(words[1]);
+            return new Trusted(name, id(open), open);
+        });
+    }
+
+    /** One key a line, of as many words as its form has; blank lines and those that begin with a hash are left out. */
+    private static <T> List<T> read(Path file, String form, Maker<T> maker) throws KeyException {
+        List<T> keys = new ArrayList<>();
         int number = 0;
         for (String line : lines(file)) {
             number++;
@@ -94,14 +90,13 @@
             if (words.length == 0) {
                 continue;
             }
-            if (words.length != 2 || !NAME.matcher(words[0]).matches()) {
-                throw new KeyException(file + ":" + number + ": not a trusted key: NAME PUBLIC is expected");
+            if (words.length != words(form).length || !NAME.matcher(words[0]).matches()) {
+                throw new KeyException(file + ":" + number + ": not a key: " + form + " is expected");
             }
             try {
-                PublicKey open = open(words[1]);
-                keys.add(new Trusted(words[0], id(open), open));
+                keys.add(maker.make(words[0], words));
             } catch (GeneralSecurityException | IllegalArgumentException e) {
-                throw new KeyException(file + ":" + number + ": not an " + ALGORITHM + " public key");
+                throw new KeyException(file + ":" + number + ": not an " + ALGORITHM + " key");
             }
         }
         return keys;
@@ -111,11 +106,11 @@
         return KeyFactory.getInstance(ALGORITHM).generatePublic(new X509EncodedKeySpec(Base64.getDecoder().decode(text)));
     }
 
-    private static void refuse(Path file, Set<PosixFilePermission> none, String else_) throws KeyException {
+    private static void refuse(Path file, Set<PosixFilePermission> none, String advice) throws KeyException {
         try {
             Set<PosixFilePermission> has = Files.getPosixFilePermissions(file);
             if (has.stream().anyMatch(none::contains)) {
-                throw new KeyException(file + ": has permissions " + PosixFilePermissions.toString(has) + ", but " + else_);
+                throw new KeyException(file + ": has permissions " + PosixFilePermissions.toString(has) + ", but " + advice);
             }
         } catch (IOException e) {
             throw new KeyException(file + ": cannot be read");
--- a/src/main/java/hopglade/proxy/Service.java
+++ b/src/main/java/hopglade/proxy/Service.java
@@ -7,9 +7,6 @@
 import hopglade.Router.Settings;
 import hopglade.config.BadFileException;
 import hopglade.config.Options;
-import hopglade.gossip.GossipSocket;
-import hopglade.gossip.KeyException;
-import hopglade.membership.Gossip;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -17,7 +14,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Arrays;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.RejectedExecutionException;
@@ -68,7 +64,7 @@
     private final Peers peers;
     private final Clock clock = new Clock();
     /** Null where this proxy shares nothing. */
-    private GossipSocket gossip;
+    private Sharing sharing;
     private InetSocketAddress listening;
     private String state = "";
     private OptionsSource options = () -> Options.DEFAULTS;
@@ -154,44 +150,9 @@
     }
 
     /** Before the list is known and the first client comes: what the others know is then part of the first decisions. */
-    private void join(Options.Gossip options) throws IOException, InterruptedException, ConfigException {
-        try {
-            gossip = GossipSocket.open(loop, clock::now, config.seed(), options, new GossipSocket.Hooks() {
-                @Override
-                public void standing(String node, boolean doubted) {
-                    proxy.standing(node, doubted);
-                }
-
-                @Override
-                public void event(String name, Object... fields) {
-                    Log.event(name, fields);
-                }
-            });
-        } catch (KeyException e) {
-            throw new ConfigException("gossip: " + e.getMessage());
-        }
-        GossipSocket shared = gossip;
-        loop.submit(() -> proxy.watch(new Proxy.Watch() {
-            @Override
-            public void listed(Router.ListKind kind, List<Router.Node> nodes) {
-                shared.listed(kind, nodes);
-            }
-
-            @Override
-            public void sent(String node) {
-                shared.sent(node);
-            }
-
-            @Override
-            public void ended(String node, Outcome outcome, double elapsedMs) {
-                shared.ended(node, outcome, elapsedMs);
-            }
-
-            @Override
-            public void probed(String node, Outcome outcome) {
-                shared.probed(node, outcome);
-            }
-        })).sync();
+    private void join(Options.Gossip shared) throws IOException, InterruptedException, ConfigException {
+        sharing = Sharing.open(loop, clock, config.seed(), shared, proxy);
+        loop.submit(() -> proxy.watch(sharing)).sync();
     }
 
     private void open() throws IOException, InterruptedException {
@@ -246,11 +207,9 @@
             Log.event("reloaded", "discovery", next.discovery());
             configure(more);
             discovery.moveTo(next.discovery());
-            if (gossip != null) {
-                gossip.reload();
+            if (sharing != null) {
+                sharing.reload();
             }
-        } catch (KeyException e) {
-            Log.event("reload_refused", "cause", "gossip: " + e.getMessage());
         } catch (ConfigException | BadFileException e) {
             Log.event("reload_refused", "cause", e.getMessage());
         }
@@ -273,8 +232,8 @@
     /** Still serves whoever comes; those that come only now for the last time. */
     void beginDrain() {
         Log.event("draining");
-        if (gossip != null) {
-            loop.execute(gossip::leave);
+        if (sharing != null) {
+            loop.execute(sharing::leave);
         }
         loop.execute(clients::drain);
     }
@@ -298,8 +257,8 @@
             loop.schedule(this::finish, DRAIN_POLL_MS, TimeUnit.MILLISECONDS);
         } else {
             logTally();
-            if (gossip != null) {
-                gossip.close();
+            if (sharing != null) {
+                sharing.close();
             }
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS).addListener(f -> ended.countDown());
         }
@@ -315,10 +274,8 @@
         Log.event("tally", "requests", t.requests, "served", t.served, "refused", t.refused, "failed", t.failed,
                 "gone", t.gone, "owed", proxy.owed(), "clients", clients.connections(), "nodes", pool.connections(),
                 "look_ups", counts(t.lookUps), "fetches", counts(t.fetches));
-        if (gossip != null) {
-            Gossip.Counts c = gossip.counts();
-            Log.event("gossip_tally", "sent", c.sent(), "bytes", c.sentBytes(), "received", c.received(), "rubbish", c.rubbish(),
-                    "replayed", c.replayed(), "verified", c.verified(), "held_back", c.heldBack());
+        if (sharing != null) {
+            sharing.logTally();
         }
     }
 
--- a/src/test/java/hopglade/HouseRulesTest.java
+++ b/src/test/java/hopglade/HouseRulesTest.java
@@ -37,6 +37,21 @@
                         "ch.qos.logback..", "org.jfree..", "org.HdrHistogram..", "org.apache.commons.."));
     }
 
+    @Test
+    void gossipDecidesWithoutIoAndIsReachedByOneClass() {
+        holds(noClasses().that().resideInAPackage("hopglade.membership..").should()
+                .dependOnClassesThat().resideInAnyPackage(CLOCKS_SOCKETS_THREADS));
+        holds(noClasses().that().resideInAPackage("hopglade.membership..").should()
+                .dependOnClassesThat().resideInAnyPackage("hopglade.proxy..", "hopglade.gossip..", "hopglade.lab..", "hopglade.config.."));
+        holds(noClasses().that().resideInAPackage("hopglade.membership..").should().callMethod(System.class, "nanoTime")
+                .orShould().callMethod(System.class, "currentTimeMillis"));
+        holds(noClasses().that().resideInAPackage("hopglade.gossip..").should()
+                .dependOnClassesThat().resideInAnyPackage("hopglade.proxy..", "hopglade.lab..", "hopglade.cli.."));
+        // Where gossip is off nothing of it may be loaded, and what the proxy's other classes name is.
+        holds(noClasses().that().resideInAPackage("hopglade.proxy..").and().haveNameNotMatching(".*\\.Sharing(\\$.*)?").should()
+                .dependOnClassesThat().resideInAnyPackage("hopglade.gossip..", "hopglade.membership.."));
+    }
+
     @Test
     void configurationKnowsNothingOfSocketsOrDecisions() {
         holds(noClasses().that().resideInAPackage("hopglade.config..").should().dependOnClassesThat()
