Give a proxy that starts all claims, also where its server list comes later

A proxy that restarted on sockets knew all members after 24 ms and yet not that a node was doubted: its first answer used up the mark that it needed the whole table, and claims about nodes that were not listed yet were lost. The table now goes to every newcomer that holds another one, and claims are taken in when their node is listed.

OutcomeTest could lose its refused port to another program between closing and binding it; it now names a port that is held all along.

--- a/src/main/java/hopglade/gossip/GossipSocket.java
+++ b/src/main/java/hopglade/gossip/GossipSocket.java
@@ -155,7 +155,7 @@
                 nodes.remove(n.id());
             }
         }
-        gossip.nodes(nodes.values());
+        gossip.nodes(clock.getAsDouble(), nodes.values(), this);
     }
 
     public void sent(String node) {
--- a/src/main/java/hopglade/lab/virtual/VirtualPeers.java
+++ b/src/main/java/hopglade/lab/virtual/VirtualPeers.java
@@ -220,7 +220,7 @@
     void listed(int proxy, Supplier<List<Node>> nodes) {
         if (voices[proxy] != null) {
             voices[proxy].nodes = nodes.get();
-            voices[proxy].gossip.nodes(voices[proxy].nodes);
+            voices[proxy].gossip.nodes(clock(proxy), voices[proxy].nodes, voices[proxy]);
         }
     }
 
--- a/src/main/java/hopglade/membership/Evidence.java
+++ b/src/main/java/hopglade/membership/Evidence.java
@@ -147,18 +147,27 @@
         return proxies < 8 ? 2 : proxies < 64 ? 3 : 4;
     }
 
-    /** The nodes of the server list. One that started anew has nothing held against it; one that left is forgotten. */
-    void listed(Collection<Node> list) {
+    /**
+     * The nodes of the server list. One that started anew has nothing held against it; one that left is forgotten. Returns those
+     * that are new here: what was said of them before was not taken in.
+     */
+    Set<String> listed(Collection<Node> list) {
         Map<String, Seen> next = new TreeMap<>();
+        Set<String> fresh = new TreeSet<>();
         for (Node n : list) {
             long born = (long) n.startedAtMs();
             Seen known = nodes.get(n.id());
-            next.put(n.id(), known == null || known.born != born ? new Seen(born) : known);
+            if (known == null || known.born != born) {
+                fresh.add(n.id());
+                known = new Seen(born);
+            }
+            next.put(n.id(), known);
         }
         nodes.clear();
         nodes.putAll(next);
         waiting.removeIf(id -> !nodes.containsKey(id) || nodes.get(id).out.isEmpty());
         accused.removeIf(id -> !nodes.containsKey(id) || nodes.get(id).unanswered() == 0 && nodes.get(id).heard.isEmpty() && !nodes.get(id).doubted);
+        return fresh;
     }
 
     /** An own attempt goes out. */
@@ -263,10 +272,18 @@
             if (s.answeredBetween(statedAt - c.sinceMs(), statedAt) && c.attempts() > 1 && c.kind() != Claim.Kind.SLOW) {
                 disagree(now, observer, distrusted);
             }
+            hear(observer, c, statedAt);
+        }
+    }
+
+    /** Takes in a claim alone; one about another life of the node, or a node that is not listed, says nothing. */
+    void hear(String observer, Claim claim, double statedAt) {
+        Seen s = nodes.get(claim.node());
+        if (s != null && s.born == claim.born()) {
             Heard h = s.heard.computeIfAbsent(observer, o -> new Heard());
-            h.claim = c;
+            h.claim = claim;
             h.statedAt = statedAt;
-            accused.add(c.node());
+            accused.add(claim.node());
         }
     }
 
--- a/src/main/java/hopglade/membership/Gossip.java
+++ b/src/main/java/hopglade/membership/Gossip.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 
@@ -228,9 +229,18 @@
         swim.start(now, wires(now, out));
     }
 
-    /** The nodes of the server list as they are now. */
-    public void nodes(Collection<Node> list) {
-        evidence.listed(list);
+    /** The nodes of the server list as they are now. What others said of a node before it was listed here counts from now on. */
+    public void nodes(double now, Collection<Node> list, Actions out) {
+        Set<String> fresh = evidence.listed(list);
+        for (Held h : statements.values()) {
+            boolean counts = now < h.until() && !h.statement().observer().equals(identity.name());
+            for (Claim c : counts && !fresh.isEmpty() ? h.statement().claims() : List.<Claim>of()) {
+                if (fresh.contains(c.node())) {
+                    evidence.hear(h.statement().observer(), c, h.madeAt());
+                }
+            }
+        }
+        review(now, out);
     }
 
     /** An own attempt goes to a node. */
@@ -525,7 +535,7 @@
             return;
         }
         Member before = swim.find(s.name);
-        boolean newcomer = s.nonce != 0 || before == null || !before.present();
+        boolean newcomer = (s.nonce != 0 || before == null || !before.present()) && p.message().digest() != swim.digest();
         if (s.nonce != 0) {
             s.retired.put(s.nonce, s.highest);
             if (s.retired.size() > RETIRED) {
@@ -544,7 +554,7 @@
         s.token = e.grant() != 0 ? e.grant() : s.token;
         accept(now, address, s, p.message(), out);
         // Most first contacts are of two that know everyone already; and one that came back needs the table of one, not of all.
-        if (newcomer && s.differs && now - s.tableAt >= TABLE_EVERY_MS) {
+        if (newcomer && now - s.tableAt >= TABLE_EVERY_MS) {
             s.tableAt = now;
             wholeTable(now, address, s.name, out);
         }
--- a/src/test/java/hopglade/lab/virtual/GossipDaysTest.java
+++ b/src/test/java/hopglade/lab/virtual/GossipDaysTest.java
@@ -51,6 +51,23 @@
         assertEquals(off.figures().get("load.requests"), with.figures().get("load.requests"));
     }
 
+    @Test
+    void liarsThatPraiseOrFlipHideNothingAndAFleetWhoseGossipIsCutServesAsWithout() throws Exception {
+        String silent = faults().substring(1);
+        String lies = "[{what = \"liar-praises\", proxy = \"proxy-3\", at_s = 5, for_s = 34}, {what = \"liar-flips\", proxy = \"proxy-7\", at_s = 5, "
+                + "for_s = 34}, ";
+        Results off = without("gossip-silent", Map.of("duration_s", "40", "fault", faults()));
+        Results lied = play("gossip-silent", Map.of("duration_s", "40", "fault", lies + silent));
+        double before = off.figures().get("served.late_or_not_share");
+        assertEquals(List.of(), lied.violations());
+        assertTrue(lied.figures().get("served.late_or_not_share") <= 0.6 * before, lied.figures().toString());
+        String cut = "[{what = \"gossip-cut\", proxy = \"*\", at_s = 0.1, for_s = 60}, ";
+        Results alone = play("gossip-silent", Map.of("duration_s", "40", "fault", cut + silent));
+        assertEquals(List.of(), alone.violations());
+        assertEquals(0.0, alone.figures().get("gossip.doubts"));
+        assertEquals(before, alone.figures().get("served.late_or_not_share"), 0.001);
+    }
+
     private static String faults() {
         return "[{what = \"node-silent\", node = \"node-1\", at_s = 12, for_s = 8}, {what = \"node-silent\", node = \"node-4\", at_s = 25, for_s = 8}]";
     }
--- a/src/test/java/hopglade/membership/GossipTest.java
+++ b/src/test/java/hopglade/membership/GossipTest.java
@@ -174,6 +174,28 @@
         allKnowAll(town);
     }
 
+    @Test
+    void aProxyThatStartsKnowsWhatIsDoubtedAlsoWhereItsListComesLater() {
+        Town town = Town.of(5, 9);
+        for (int i = 0; i < 3; i++) {
+            town.proxy(i).saw("node-5", Outcome.TIMEOUT, 2);
+        }
+        town.runFor(500);
+        List<hopglade.Router.Node> list = List.copyOf(town.nodes);
+        assertTrue(town.join("early", 0, 1).doubted.isEmpty());
+        town.nodes.clear();
+        Town.Proxy late = town.join("late", 0, 1);
+        town.runFor(400);
+        assertTrue(town.proxy(5).doubted.contains("node-5"), "it knows within 0.4 s of its start");
+        assertTrue(late.doubted.isEmpty());
+        late.gossip.nodes(late.clock(), list, late);
+        assertTrue(late.doubted.contains("node-5"), "as soon as it has a list");
+        late.gossip.nodes(late.clock(), list.stream().map(n -> n.id().equals("node-5") ? new hopglade.Router.Node("node-5", "std", "a", 0, 1,
+                town.now, hopglade.Router.Availability.UP) : n).toList(), late);
+        town.runFor(200);
+        assertTrue(late.gossip.table().size() >= 7);
+    }
+
     @Test
     void aKeyThatWasRemovedAndANameThatIsUsedTwiceShow() {
         Town town = Town.of(4, 7);
--- a/src/test/java/hopglade/membership/Town.java
+++ b/src/test/java/hopglade/membership/Town.java
@@ -85,7 +85,7 @@
             this.ahead = ahead;
             this.pace = pace;
             gossip = new Gossip(new Gossip.Settings(address, List.of(seed), BYTES_PER_S, 400), new Signer(name, 1, strangers), random.nextLong());
-            gossip.nodes(nodes);
+            gossip.nodes(clock(), nodes, this);
             gossip.start(clock(), this);
             tick();
         }
--- a/src/test/java/hopglade/proxy/OutcomeTest.java
+++ b/src/test/java/hopglade/proxy/OutcomeTest.java
@@ -64,12 +64,16 @@
 
     @Test
     void aRefusedConnectionNeverRan() throws Exception {
-        InetSocketAddress address = site.node.address();
-        site.node.close();
         // Bound and not listening: the port refuses, and no other program can take it.
         try (Socket held = new Socket()) {
-            held.setReuseAddress(true);
-            held.bind(address);
+            held.bind(new InetSocketAddress("127.0.0.1", 0));
+            String list = Site.list(8, false, Site.host("c1", "127.0.0.1:" + held.getLocalPort(), "up", 0)) + "\n";
+            site.discovery.next().wire().write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(list.length())
+                    + "\r\n" + list + "\r\n");
+            while (Scripted.next(site.router.lists).version() < 8) {
+                // The list that it starts with comes first.
+            }
+            site.router.onRequest = (request, out) -> out.send(request.id(), "c1", 0);
             client.write(site.get(Site.LONG_S));
             assertEquals(Outcome.CONNECT_FAILED, Scripted.next(site.router.ends).outcome());
         }
