Write gossip's shared figures once, and read no packet before it can be told

Read once more: header bytes, seeds, a liar's times and sizes of members were written two or three times, the key's id was hashed anew for each packet, and statements were encoded twice to learn their size. Each stands once now. A packet that came between binding and starting met a null and was lost in silence; nothing is read before then. A fault in one tick ended all later ones; the next is asked for first.

--- a/src/main/java/hopglade/gossip/GossipSocket.java
+++ b/src/main/java/hopglade/gossip/GossipSocket.java
@@ -14,7 +14,9 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
@@ -38,7 +40,7 @@
 public final class GossipSocket implements Gossip.Actions {
 
     /** A datagram that is longer than any of ours shows as one byte more than that, and is refused for it. */
-    private static final int MOST_BYTES = 1201;
+    private static final int RECEIVED_BYTES = Gossip.MOST_BYTES + 1;
 
     /** What the proxy does with what is heard. */
     public interface Hooks {
@@ -87,7 +89,9 @@
             throw new IOException("gossip.listen: " + options.listen() + " is no numeric address and port");
         }
         ChannelFuture bound = new Bootstrap().group(loop).channel(NioDatagramChannel.class)
-                .option(io.netty.channel.ChannelOption.RECVBUF_ALLOCATOR, new io.netty.channel.FixedRecvByteBufAllocator(MOST_BYTES))
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(RECEIVED_BYTES))
+                // Nothing is read before there is somebody to tell: the port, which may be drawn, is part of who we are.
+                .option(ChannelOption.AUTO_READ, false)
                 .handler(new Inbox()).bind(listen).await();
         if (!bound.isSuccess()) {
             throw new IOException("cannot listen on " + options.listen() + " for gossip: " + bound.cause().getMessage());
@@ -101,14 +105,16 @@
         hooks.event("gossip", "name", keys.name(), "address", here, "seeds", options.seeds().size());
         loop.execute(() -> {
             gossip.start(clock.getAsDouble(), this);
+            channel.config().setAutoRead(true);
             tick();
         });
     }
 
     private void tick() {
         if (channel.isOpen()) {
-            gossip.tick(clock.getAsDouble(), this);
+            // First the next one: a fault in this must not end all later ones.
             loop.schedule(this::tick, (long) Gossip.TICK_MS, TimeUnit.MILLISECONDS);
+            gossip.tick(clock.getAsDouble(), this);
         }
     }
 
--- a/src/main/java/hopglade/gossip/KeyRing.java
+++ b/src/main/java/hopglade/gossip/KeyRing.java
@@ -17,6 +17,7 @@
     private final Signature signer;
     private final Signature verifier;
     private Own own;
+    private int id;
     private List<Trusted> trusted = List.of();
 
     public KeyRing(Path keyFile, Path ringFile) throws KeyException {
@@ -38,11 +39,12 @@
         if (own != null && !own.name().equals(next.name())) {
             throw new KeyException(keyFile + ": is the key of " + next.name() + ", but this proxy is " + own.name());
         }
-        int id = KeyFiles.id(next.open());
-        if (ring.stream().noneMatch(t -> t.id() == id && t.name().equals(next.name()))) {
+        int nextId = KeyFiles.id(next.open());
+        if (ring.stream().noneMatch(t -> t.id() == nextId && t.name().equals(next.name()))) {
             throw new KeyException(ringFile + ": does not hold the key that " + keyFile + " signs with; nobody would believe this proxy");
         }
         own = next;
+        id = nextId;
         trusted = ring;
     }
 
@@ -53,7 +55,7 @@
 
     @Override
     public int keyId() {
-        return KeyFiles.id(own.open());
+        return id;
     }
 
     @Override
--- a/src/main/java/hopglade/lab/faults/Fault.java
+++ b/src/main/java/hopglade/lab/faults/Fault.java
@@ -20,6 +20,8 @@
 
     /** A prime above any count, so that a part takes each index once and neighbours fall apart. */
     private static final int SPREAD = 7919;
+    /** How often a liar pretends to have seen something of each node. */
+    public static final double LIE_EVERY_MS = 250;
 
     /** Keys that a fault's table may hold beside {@code what} and {@code at_s}. */
     public enum Key { FOR_S, NODE, PROXY, ZONE, SHARE, FACTOR, KEYS, CLASS }
@@ -129,6 +131,11 @@
         return target.equals("*") || target.equals(prefix + index);
     }
 
+    /** Whether a liar accuses at this time: one that flips does so in every second second. */
+    public boolean accuses(double ms) {
+        return what == Kind.LIAR_ACCUSES || what == Kind.LIAR_FLIPS && (long) (ms / 1000) % 2 == 0;
+    }
+
     public double atMs() {
         return atS * 1000;
     }
--- a/src/main/java/hopglade/lab/faults/PeerLinks.java
+++ b/src/main/java/hopglade/lab/faults/PeerLinks.java
@@ -5,6 +5,8 @@
 /** What becomes of the packets between proxies: cuts, parts, and links that lose, double and delay. Both drivers carry by it. */
 public final class PeerLinks {
 
+    /** So many of the first proxies are the seeds of all. */
+    public static final int SEEDS = 3;
     private static final double LATE_MS = 400;
     private static final double[] LOST = {};
 
--- a/src/main/java/hopglade/lab/sockets/ProxyProcess.java
+++ b/src/main/java/hopglade/lab/sockets/ProxyProcess.java
@@ -1,6 +1,7 @@
 package hopglade.lab.sockets;
 
 import com.google.gson.JsonObject;
+import hopglade.membership.Gossip;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -30,7 +31,6 @@
             + "(while read -r _; do :; done <&3; kill -KILL $p) 2>/dev/null & w=$!; exec 3<&-; wait $p; c=$?; kill $w 2>/dev/null; echo \"exit $c\"";
     private static final Pattern LEVEL = Pattern.compile("\\bcontrol level=(\\d+)");
     private static final Pattern GOSSIP = Pattern.compile("\\bgossip_tally sent=(\\d+) bytes=(\\d+)");
-    private static final int HEADERS = 28;
     private static final long READY_POLL_MS = 20;
     private static final double TICKS_PER_S = 100;
     private static final double KB_PER_MB = 1024;
@@ -109,7 +109,7 @@
                     level = Integer.parseInt(control.group(1));
                 }
                 if (gossip.find()) {
-                    double bytes = Double.parseDouble(gossip.group(2)) + HEADERS * Double.parseDouble(gossip.group(1));
+                    double bytes = Double.parseDouble(gossip.group(2)) + Gossip.HEADERS * Double.parseDouble(gossip.group(1));
                     gossipBytesPerS = bytes / ((System.nanoTime() - startedNs) / 1e9);
                 }
                 synchronized (log) {
--- a/src/main/java/hopglade/lab/sockets/SocketPeers.java
+++ b/src/main/java/hopglade/lab/sockets/SocketPeers.java
@@ -6,6 +6,8 @@
 import hopglade.gossip.KeyException;
 import hopglade.gossip.KeyFiles;
 import hopglade.lab.Experiment;
+import hopglade.lab.faults.Fault;
+import hopglade.lab.faults.PeerLinks;
 import io.netty.channel.EventLoop;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -24,11 +26,9 @@
  */
 final class SocketPeers {
 
-    private static final int SEEDS = 3;
     private static final double NS_PER_MS = 1e6;
     private static final String LIAR = "liar";
     private static final int VERIFICATIONS_PER_S = 200;
-    private static final double LIE_EVERY_MS = 250;
     private static final String PROGRAM = "-jar target/hopglade.jar serve";
 
     private SocketPeers() { }
@@ -73,7 +73,7 @@
         relay.liar(socket.bound());
         loop.execute(() -> socket.listed(Router.ListKind.FULL, nodes));
         var lying = loop.scheduleAtFixedRate(() -> nodes.forEach(n -> socket.ended(n.id(),
-                accuses.test(clock.getAsDouble()) ? Router.Outcome.TIMEOUT : Router.Outcome.OK, 1)), 0, (long) LIE_EVERY_MS, TimeUnit.MILLISECONDS);
+                accuses.test(clock.getAsDouble()) ? Router.Outcome.TIMEOUT : Router.Outcome.OK, 1)), 0, (long) Fault.LIE_EVERY_MS, TimeUnit.MILLISECONDS);
         return () -> {
             lying.cancel(false);
             socket.close();
@@ -81,7 +81,7 @@
     }
 
     private static List<String> seeds(Experiment experiment, PacketRelay relay) {
-        return IntStream.range(0, Math.min(SEEDS, experiment.proxies().count())).mapToObj(i -> text(relay.address(i))).toList();
+        return IntStream.range(0, Math.min(PeerLinks.SEEDS, experiment.proxies().count())).mapToObj(i -> text(relay.address(i))).toList();
     }
 
     private static String text(InetSocketAddress address) {
--- a/src/main/java/hopglade/lab/sockets/SocketRun.java
+++ b/src/main/java/hopglade/lab/sockets/SocketRun.java
@@ -307,7 +307,7 @@
             List<Router.Node> nodes = loop.submit((Callable<List<Entry>>) world::truth).get().stream()
                     .filter(e -> !e.id().equals(plan.origin().id())).map(e -> ProxySettings.node(plan, e)).toList();
             Runnable end = SocketPeers.liar(clientGroup.next(), directory, experiment, relay, nodes,
-                    ms -> fault.what() == Fault.Kind.LIAR_ACCUSES || fault.what() == Fault.Kind.LIAR_FLIPS && (long) (ms / MS_PER_S) % 2 == 0);
+                    fault::accuses);
             atEnd(end);
         }
 
--- a/src/main/java/hopglade/lab/virtual/VirtualPeers.java
+++ b/src/main/java/hopglade/lab/virtual/VirtualPeers.java
@@ -32,14 +32,10 @@
  */
 final class VirtualPeers {
 
-    private static final int SEEDS = 3;
     private static final double HOUR_MS = 3_600_000;
     private static final double MS_PER_S = 1000;
-    /** Added to each UDP payload to get what the wire carries: the headers of UDP and IPv4. */
-    private static final int HEADERS = 28;
     private static final int VERIFICATIONS_PER_S = 400;
     private static final int MOST_MARKS = 100;
-    private static final double LIE_EVERY_MS = 250;
 
     /** One proxy's gossip in one life. */
     private final class Voice implements Gossip.Actions {
@@ -52,7 +48,7 @@
         Voice(VirtualProxy proxy, int life) {
             this.proxy = proxy;
             List<String> seeds = new ArrayList<>();
-            for (int i = 0; i < Math.min(SEEDS, experiment.proxies().count()); i++) {
+            for (int i = 0; i < Math.min(PeerLinks.SEEDS, experiment.proxies().count()); i++) {
                 seeds.add(address(i));
             }
             gossip = new Gossip(new Gossip.Settings(address(proxy.index), seeds, experiment.gossip().bytesPerS(), VERIFICATIONS_PER_S),
@@ -70,7 +66,7 @@
         public void send(String to, byte[] packet) {
             int second = (int) (agenda.now() / MS_PER_S);
             if (second < bytes[proxy.index].length) {
-                bytes[proxy.index][second] += packet.length + HEADERS;
+                bytes[proxy.index][second] += packet.length + Gossip.HEADERS;
             }
             carry(proxy.index, Integer.parseInt(to.substring(1)), packet);
         }
@@ -225,28 +221,27 @@
     }
 
     void seen(VirtualProxy proxy, String node, Outcome outcome, double elapsedMs, boolean probe) {
-        Voice voice = voices[proxy.index];
-        if (voice == null || voice.proxy != proxy) {
-            return;
-        }
-        double now = clock(proxy.index);
-        if (lies[proxy.index] != null) {
-            return;
-        }
-        if (probe) {
-            voice.gossip.probed(now, node, outcome, voice);
-        } else {
-            voice.gossip.ended(now, node, outcome, elapsedMs);
+        Voice voice = honest(proxy);
+        if (voice != null && probe) {
+            voice.gossip.probed(clock(proxy.index), node, outcome, voice);
+        } else if (voice != null) {
+            voice.gossip.ended(clock(proxy.index), node, outcome, elapsedMs);
         }
     }
 
     void sent(VirtualProxy proxy, String node) {
-        Voice voice = voices[proxy.index];
-        if (voice != null && voice.proxy == proxy && lies[proxy.index] == null) {
+        Voice voice = honest(proxy);
+        if (voice != null) {
             voice.gossip.sent(clock(proxy.index), node);
         }
     }
 
+    /** The voice of a proxy's present life; null without gossip, and where it tells lies instead of what it sees. */
+    private Voice honest(VirtualProxy proxy) {
+        Voice voice = voices[proxy.index];
+        return voice != null && voice.proxy == proxy && lies[proxy.index] == null ? voice : null;
+    }
+
     private void carry(int from, int to, byte[] packet) {
         double delay = plan.delayMs(from, plan.proxyZones().get(to));
         for (double late : links.copies(from, to, agenda.now())) {
@@ -297,13 +292,13 @@
         if (lies[proxy] == null || !fault.at(agenda.now())) {
             return;
         }
-        boolean accuses = fault.what() == Kind.LIAR_ACCUSES || fault.what() == Kind.LIAR_FLIPS && (long) (agenda.now() / MS_PER_S) % 2 == 0;
+        boolean accuses = fault.accuses(agenda.now());
         if (voice != null && !voice.over) {
             for (Node n : voice.nodes) {
                 voice.gossip.ended(clock(proxy), n.id(), accuses ? Outcome.TIMEOUT : Outcome.OK, 1);
             }
         }
-        agenda.in(LIE_EVERY_MS, () -> lie(proxy, fault));
+        agenda.in(Fault.LIE_EVERY_MS, () -> lie(proxy, fault));
     }
 
     /** What it came to; empty without gossip, but for where requests went. */
@@ -322,10 +317,9 @@
         figures.put("gossip.doubts", (double) doubts);
         figures.put("gossip.false_doubts", (double) falseDoubts);
         figures.put("gossip.distrusts", (double) events.getOrDefault(What.DISTRUSTED, 0));
-        figures.put("gossip.held_back", Arrays.stream(voices).filter(v -> v != null).mapToDouble(v -> v.gossip.counts().heldBack()).sum());
-        figures.put("gossip.replays_refused", Arrays.stream(voices).filter(v -> v != null).mapToDouble(v -> v.gossip.counts().replayed()).sum());
-        figures.put("gossip.verified_per_s", Arrays.stream(voices).filter(v -> v != null)
-                .mapToDouble(v -> v.gossip.counts().verified() / Math.max(1, (agenda.now() - v.bornAt) / MS_PER_S)).max().orElse(0));
+        figures.put("gossip.held_back", Arrays.stream(voices).mapToDouble(v -> v.gossip.counts().heldBack()).sum());
+        figures.put("gossip.replays_refused", Arrays.stream(voices).mapToDouble(v -> v.gossip.counts().replayed()).sum());
+        figures.put("gossip.verified_per_s", Arrays.stream(voices).mapToDouble(v -> v.gossip.counts().verified() / Math.max(1, (agenda.now() - v.bornAt) / MS_PER_S)).max().orElse(0));
         figures.put("gossip.death_known_ms", known.values().stream().mapToDouble(d -> d).max().orElse(0));
         figures.put("gossip.doubt_spread_ms", firstDoubt.keySet().stream().mapToDouble(n -> lastDoubt.get(n) - firstDoubt.get(n)).max().orElse(0));
         figures.put("gossip.learned_ms_max", learnedMs);
--- a/src/main/java/hopglade/membership/Gossip.java
+++ b/src/main/java/hopglade/membership/Gossip.java
@@ -26,6 +26,11 @@
     /** How often {@link #tick} is called. */
     public static final double TICK_MS = 50;
 
+    /** What UDP and IPv4 add to each packet, in bytes; the budget is that of the wire. */
+    public static final int HEADERS = 28;
+    /** The longest packet, in bytes of UDP payload. */
+    public static final int MOST_BYTES = Wire.MOST_BYTES;
+
     /** Waits between two rounds of news, and to how many each goes. */
     private static final double NEWS_MS = 50;
     private static final int FANOUT = 2;
@@ -41,8 +46,6 @@
     private static final int TABLE_PACKETS = 24;
     /** Part of the verifications that is for addresses that are no member's: more than some joins a second are rubbish. */
     private static final double STRANGERS = 0.25;
-    /** What UDP and IPv4 add to each packet; the budget is that of the wire. */
-    private static final int HEADERS = 28;
     /** The most that goes out at once, a few packets. */
     private static final double MOST_BURST = 4096;
     private static final int RETIRED = 8;
@@ -399,10 +402,12 @@
         int room = Wire.MOST_BYTES * 2 / 3;
         for (Map.Entry<String, News> e : statementNews.entrySet().stream().sorted(Comparator.comparingInt(x -> -x.getValue().left)).toList()) {
             Held h = statements.get(e.getKey());
-            if (h == null || now >= h.until()) {
+            boolean stands = h != null && now < h.until();
+            int size = stands ? Wire.bytes(h.statement()) : 0;
+            if (!stands) {
                 e.getValue().left = 0;
-            } else if (Wire.bytes(h.statement()) <= room) {
-                room -= Wire.bytes(h.statement());
+            } else if (size <= room) {
+                room -= size;
                 e.getValue().left--;
                 tell.add(h.told(now));
             }
@@ -488,10 +493,11 @@
             s.highestUnproven = 0;
         }
         boolean toUs = e.echo() == nonce;
-        if (p.message().kind() == Kind.WELCOME && !seen) {
+        boolean welcome = p.message().kind() == Kind.WELCOME;
+        if (welcome && !seen) {
             s.highestUnproven = e.counter();
             welcomed(now, address, s, e, out);
-        } else if (p.message().kind() != Kind.WELCOME && current && toUs && e.token() == s.challenge) {
+        } else if (!welcome && current && toUs && e.token() == s.challenge) {
             s.moved = false;
             s.pendingNonce = 0;
             if (s.fresh(e.counter())) {
@@ -501,7 +507,7 @@
             } else {
                 replayed++;
             }
-        } else if (p.message().kind() != Kind.WELCOME && !current && toUs && e.token() == s.pendingChallenge) {
+        } else if (!welcome && !current && toUs && e.token() == s.pendingChallenge) {
             promote(now, address, s, p, out);
         } else if (seen) {
             // An answer to each would let anyone who recorded one packet have us send as many as he likes.
@@ -570,25 +576,21 @@
             table.add(0, itself);
         }
         for (int i = 0; i < TABLE_PACKETS && !(heard.isEmpty() && table.isEmpty()); i++) {
-            int room = Wire.MOST_BYTES - 250;
+            int room = Wire.MOST_BYTES - Wire.MOST_ENVELOPE;
             List<Heard> some = new ArrayList<>();
             while (!heard.isEmpty() && room >= Wire.bytes(heard.get(0).statement())) {
                 room -= Wire.bytes(heard.get(0).statement());
                 some.add(heard.remove(0));
             }
             List<Member> few = new ArrayList<>();
-            while (!table.isEmpty() && room >= bytes(table.get(0))) {
-                room -= bytes(table.get(0));
+            while (!table.isEmpty() && room >= Wire.bytes(table.get(0))) {
+                room -= Wire.bytes(table.get(0));
                 few.add(table.remove(0));
             }
             transmit(now, address, name, new Message(Kind.NEWS, 0, null, swim.digest(), few, some), out);
         }
     }
 
-    private static int bytes(Member m) {
-        return m.name().length() + m.address().length() + 7;
-    }
-
     private void accept(double now, String address, Session s, Message m, Actions out) {
         Swim.Out wires = wires(now, out);
         for (Member member : m.members()) {
--- a/src/main/java/hopglade/membership/Wire.java
+++ b/src/main/java/hopglade/membership/Wire.java
@@ -15,6 +15,8 @@
 final class Wire {
 
     static final int MOST_BYTES = 1200;
+    /** What envelope, counts and signature of a packet take at most, rounded up. */
+    static final int MOST_ENVELOPE = 250;
     static final int MOST_NAME = 32;
     static final int MOST_ADDRESS = 64;
     static final int MOST_NODE = 64;
@@ -97,6 +99,11 @@
         return 2 + signed(s).length + Identity.SIGNATURE_BYTES;
     }
 
+    /** How many bytes a member takes in a packet: two texts, an incarnation and a status. */
+    static int bytes(Member m) {
+        return m.name().length() + m.address().length() + 7;
+    }
+
     private static void member(ByteBuffer out, Member m) {
         text(out, m.name());
         text(out, m.address());
--- a/src/test/java/hopglade/gossip/KeysTest.java
+++ b/src/test/java/hopglade/gossip/KeysTest.java
@@ -62,6 +62,13 @@
             group.next().submit(act).sync();
         }
 
+        void reload() throws Exception {
+            group.next().submit(() -> {
+                socket.reload();
+                return null;
+            }).get(PATIENCE_S, TimeUnit.SECONDS);
+        }
+
         void accuses() throws Exception {
             on(() -> {
                 for (int i = 0; i < 3; i++) {
@@ -148,13 +155,7 @@
         for (String[] step : new String[][] {{}, {"--use"}, {"--drop"}}) {
             assertEquals(0, keys("rotate", "dos", step));
             for (Member m : members) {
-                m.on(() -> {
-                    try {
-                        m.socket.reload();
-                    } catch (KeyException e) {
-                        throw new IllegalStateException(e);
-                    }
-                });
+                m.reload();
             }
             members.get(1).accuses();
             tres.accuses();
@@ -168,13 +169,7 @@
         // The third one's key is taken out of the ring; it runs on, and is heard no more.
         Files.write(ring(), Files.readAllLines(ring()).stream().filter(l -> !l.startsWith("tres ")).toList());
         for (Member m : members.subList(0, 2)) {
-            m.on(() -> {
-                try {
-                    m.socket.reload();
-                } catch (KeyException e) {
-                    throw new IllegalStateException(e);
-                }
-            });
+            m.reload();
         }
         await("it is taken for dead", () -> uno.knows("tres", "dead"));
         assertThrows(KeyException.class, tres.socket::reload, "it is told why");
--- a/src/test/java/hopglade/membership/Town.java
+++ b/src/test/java/hopglade/membership/Town.java
@@ -31,8 +31,8 @@
         }
     }
 
-    /** Signs by a hash over a secret that all share; a forger here has another. */
-    record Signer(String name, long secret, Set<String> strangers) implements Identity {
+    /** Signs by a hash that depends on the name; a name among the strangers has no key in the ring. */
+    record Signer(String name, Set<String> strangers) implements Identity {
 
         @Override
         public int keyId() {
@@ -41,7 +41,7 @@
 
         private byte[] signature(String by, byte[] data, int length) {
             byte[] signature = new byte[SIGNATURE_BYTES];
-            long hash = secret * 31 + by.hashCode();
+            long hash = by.hashCode();
             for (int i = 0; i < length; i++) {
                 hash = (hash ^ data[i]) * 0x100000001b3L;
                 signature[i % SIGNATURE_BYTES] ^= (byte) (hash >>> 32);
@@ -84,7 +84,7 @@
             this.address = address;
             this.ahead = ahead;
             this.pace = pace;
-            gossip = new Gossip(new Gossip.Settings(address, List.of(seed), BYTES_PER_S, 400), new Signer(name, 1, strangers), random.nextLong());
+            gossip = new Gossip(new Gossip.Settings(address, List.of(seed), BYTES_PER_S, 400), new Signer(name, strangers), random.nextLong());
             gossip.nodes(clock(), nodes, this);
             gossip.start(clock(), this);
             tick();
