Wait for an own connection where a node's table is full, and release spare ones

Seen: every one of 301 rejected fetches was the first on a new connection that the origin then closed; none came on a used one. Counted over the fleet, the origin held exactly 31 connections from the second second on, while a fetch takes about 30 ms: nearly all of them idle. A rejection counted as a bad fetch, so levels rose to 3 and 4 at proxies that had merely come late, and their bases, learned at 5 to 8 fetches a second, then refused most misses.

At fault: NodePool.connect and closeAged (a connection for each burst, kept for 22 s by each of 14 proxies), Decide.attemptEnded and afterFetch (a rejection is load and is not repeated).

Change: a rejection that closes a new connection is "could not connect". The pool then opens no further one for 50 ms, doubling to 1 s and spread at random from the seed; what comes meanwhile waits for a connection of ours. Connections beyond the first to a node close after 250 ms without a use. The module does not count a connection refused at once as a bad fetch, and asks once more also while throttled; one that fails by its time-out still counts. The tally tells what refusals came after, connections at the origin and the time of fetches.

Tried first: not counting any failed connection.

--- a/src/main/java/hopglade/Decide.java
+++ b/src/main/java/hopglade/Decide.java
@@ -321,12 +321,13 @@
         }
         if (fetched || !hasOrigin && end.note() > 1) {
             double aim = r == null ? INTERVAL_MS : r.service.aimMs();
-            boolean called = end.outcome() == Outcome.CANCELLED || end.outcome() == Outcome.NEVER_SENT;
-            if (!called && (r == null || !r.overdue) && broke(end.outcome())) {
+            boolean untold = end.outcome() == Outcome.CANCELLED || end.outcome() == Outcome.NEVER_SENT
+                    || turnedAway(end);
+            if (!untold && (r == null || !r.overdue) && broke(end.outcome())) {
                 control.countBroken();
-            } else if (!called && (r == null || !r.overdue) && end.outcome() == Outcome.ERROR) {
+            } else if (!untold && (r == null || !r.overdue) && end.outcome() == Outcome.ERROR) {
                 control.countSpoilt();
-            } else if (!called && (r == null || !r.overdue)) {
+            } else if (!untold && (r == null || !r.overdue)) {
                 control.count(end.outcome() == Outcome.OK && end.elapsedMs() <= aim);
             }
         }
@@ -340,7 +341,7 @@
         if (end.finished()) {
             requests.remove(r.in.id());
         } else if (fetched) {
-            afterFetch(now, r, end.outcome(), out);
+            afterFetch(now, r, end, out);
         } else {
             afterLookUp(now, r, node, end.outcome(), out);
         }
@@ -588,10 +589,21 @@
         return at != null && now - at < MISSING_MS;
     }
 
-    private void afterFetch(double now, Held r, Outcome outcome, Actions out) {
+    /**
+     * Whether a node took no connection and said so at once: its table is full, of idle ones perhaps, which
+     * says nothing of the work that it has. One out of reach fails after the time for connecting. Could harm
+     * where an origin closes its door as the first sign of overload: late fetches alone then throttle.
+     */
+    private boolean turnedAway(AttemptEnd end) {
+        return end.outcome() == Outcome.CONNECT_FAILED
+                && end.elapsedMs() < settings.limits().connectTimeoutMs();
+    }
+
+    private void afterFetch(double now, Held r, AttemptEnd end, Actions out) {
+        Outcome outcome = end.outcome();
         boolean again = outcome != Outcome.OK && outcome != Outcome.REJECTED;
         // What the network breaks is repeated while throttled too: the token that it draws bounds the load.
-        boolean may = control.level == 0 || broke(outcome) && usualBreaks > BREAKING
+        boolean may = control.level == 0 || turnedAway(end) || broke(outcome) && usualBreaks > BREAKING
                 || outcome == Outcome.ERROR && usualErrors > BREAKING;
         if (again && may && r.fetchTries++ == 0 && mayRepeat(now, r)) {
             fetch(now, r, out);
--- a/src/main/java/hopglade/proxy/NodePool.java
+++ b/src/main/java/hopglade/proxy/NodePool.java
@@ -33,6 +33,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -52,15 +53,26 @@
      * taken for the next one's. Counted by timers, which run after all that has arrived was read, also after a pause.
      */
     private static final long REST_MS = 4;
-    /** Idle connections are looked through so often in the time that they may stand, and at least each second. */
+    /** Idle connections are looked through so often in the time that they may stand. */
     private static final double IDLE_SWEEPS = 10;
-    private static final double SWEEP_MS = 1000;
     /**
      * An answer that has begun and does not end in this part of the shortest aim, or at most in so long, is spoilt: nodes
      * write theirs in one go, and where one came in part its rest never did. It can then still be had elsewhere in time.
      */
     private static final double STALL_PART = 0.25;
     private static final double STALL_MOST_MS = 200;
+    /**
+     * How long no further connection is opened after a node has turned one away, while there are others of ours that may
+     * come free: at first and, doubling with each one turned away, at most. What waits so is spread at random, as every
+     * proxy meets the same full table.
+     */
+    private static final double FULL_FIRST_MS = 50;
+    private static final double FULL_MOST_MS = 1000;
+    /**
+     * A connection beyond the first to a node closes after so long without a use. Nodes hold only so many, and what the
+     * proxies keep for their own next burst is missing for another's present one; opening one costs a handshake.
+     */
+    private static final double SPARE_MS = 250;
     private static final byte[] START = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
 
     /** Takes how an exchange ended; {@code response} is null where no whole answer came and is released afterwards. */
@@ -76,20 +88,23 @@
     private final Deque<Connection> resting = new ArrayDeque<>();
     private final IdleAges ages = new IdleAges();
     private final LongSupplier nanos;
+    private final SplittableRandom random;
     private double stallMs = STALL_MOST_MS;
     private boolean restsWatched;
     private boolean idleWatched;
     private int connections;
 
-    NodePool(EventLoop loop, Transport transport, double connectTimeoutMs, double idleMs, int maxConnections) {
-        this(loop, transport, connectTimeoutMs, idleMs, maxConnections, System::nanoTime);
+    NodePool(EventLoop loop, Transport transport, double connectTimeoutMs, double idleMs, int maxConnections,
+             long seed) {
+        this(loop, transport, connectTimeoutMs, idleMs, maxConnections, seed, System::nanoTime);
     }
 
     /** {@code nanos} is the clock that idle times are read from. */
     NodePool(EventLoop loop, Transport transport, double connectTimeoutMs, double idleMs, int maxConnections,
-             LongSupplier nanos) {
+             long seed, LongSupplier nanos) {
         this.loop = loop;
         this.nanos = nanos;
+        this.random = new SplittableRandom(seed);
         this.idleMs = idleMs * IDLE_PART;
         this.maxConnections = maxConnections;
         this.bootstrap = transport.client(loop)
@@ -130,6 +145,9 @@
         if (target != null) {
             closeIdle(target);
             target.current = false;
+            for (Exchange e = target.nextWaiting(); e != null; e = target.nextWaiting()) {
+                e.end(Outcome.CONNECT_FAILED, null);
+            }
         }
     }
 
@@ -152,6 +170,12 @@
         return connections;
     }
 
+    /** Connections to one node, busy and idle. */
+    int connections(String node) {
+        Target target = targets.get(node);
+        return target == null ? 0 : target.connections;
+    }
+
     /** Whether no connection is in the pause that follows an answer. */
     boolean isRested() {
         return resting.isEmpty();
@@ -172,6 +196,8 @@
         Connection idle = newestIdle(target);
         if (idle != null) {
             idle.write(exchange);
+        } else if (target.isFull(nanos.getAsLong())) {
+            waitFor(target, exchange);
         } else if (connections < maxConnections || closeOldestIdle()) {
             connect(target, exchange);
         } else {
@@ -182,6 +208,32 @@
         return exchange;
     }
 
+    /** Until a connection of ours comes free, or one more may be tried; the exchange's own time goes on. */
+    private void waitFor(Target target, Exchange exchange) {
+        target.waiting.addLast(exchange);
+        openLater(target);
+    }
+
+    private void openLater(Target target) {
+        if (!target.opening && !target.waiting.isEmpty()) {
+            target.opening = true;
+            long pause = Math.max(TimeUnit.MILLISECONDS.toNanos(REST_MS), target.fullUntil - nanos.getAsLong());
+            loop.schedule(() -> open(target), pause, TimeUnit.NANOSECONDS);
+        }
+    }
+
+    /** Tries one more connection for the exchange that has waited longest. */
+    private void open(Target target) {
+        target.opening = false;
+        if (!target.isFull(nanos.getAsLong()) && (connections < maxConnections || closeOldestIdle())) {
+            Exchange first = target.nextWaiting();
+            if (first != null) {
+                connect(target, first);
+            }
+        }
+        openLater(target);
+    }
+
     private Connection newestIdle(Target target) {
         long now = nanos.getAsLong();
         double limit = Math.min(idleMs, ages.limitMs(now));
@@ -199,7 +251,7 @@
     private void watchIdle() {
         if (!idleWatched && idleMs < Long.MAX_VALUE / 1e6) {
             idleWatched = true;
-            loop.schedule(this::closeAged, (long) (Math.min(idleMs / IDLE_SWEEPS, SWEEP_MS) * 1e6), TimeUnit.NANOSECONDS);
+            loop.schedule(this::closeAged, (long) (Math.min(idleMs / IDLE_SWEEPS, SPARE_MS) * 1e6), TimeUnit.NANOSECONDS);
         }
     }
 
@@ -208,7 +260,10 @@
         double limit = Math.min(idleMs, ages.limitMs(now));
         boolean left = false;
         for (Target target : targets.values()) {
-            for (Connection c = target.idle.peekLast(); c != null && c.idleMs(now) >= limit; c = target.idle.peekLast()) {
+            int held = target.connections;
+            for (Connection c = target.idle.peekLast();
+                    c != null && c.idleMs(now) >= (held > 1 ? Math.min(limit, SPARE_MS) : limit); c = target.idle.peekLast()) {
+                held--;
                 target.idle.removeLast();
                 c.context.close();
             }
@@ -223,6 +278,7 @@
     private void connect(Target target, Exchange exchange) {
         Connection connection = new Connection(target);
         connections++;
+        target.connections++;
         ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
@@ -231,7 +287,10 @@
             }
         }).connect(target.dial);
         exchange.channel = connecting.channel();
-        connecting.channel().closeFuture().addListener(f -> connections--);
+        connecting.channel().closeFuture().addListener(f -> {
+            connections--;
+            target.connections--;
+        });
         connecting.addListener(f -> {
             if (!f.isSuccess()) {
                 connecting.channel().close();
@@ -261,18 +320,48 @@
         return oldest != null;
     }
 
-    /** A host's address and its idle connections, newest first. */
+    /** A host's address, its idle connections, newest first, and what waits for one. */
     private static final class Target {
         final SocketAddress dial;
         final double bornMs;
         final Deque<Connection> idle = new ArrayDeque<>();
         /** False once the list has moved on: connections that come free then must not wait for a use. */
         boolean current = true;
+        final Deque<Exchange> waiting = new ArrayDeque<>();
+        int connections;
+        private double fullMs = FULL_FIRST_MS;
+        private long fullUntil;
+        private boolean turnedAway;
+        private boolean opening;
 
         Target(SocketAddress dial, double bornMs) {
             this.dial = dial;
             this.bornMs = bornMs;
         }
+
+        /** Whether the node turned a new connection away so lately that another is not worth its handshake. */
+        boolean isFull(long now) {
+            return turnedAway && now - fullUntil < 0;
+        }
+
+        void turnedAway(long now, double draw) {
+            turnedAway = true;
+            fullUntil = now + (long) (fullMs * (0.5 + draw) * 1e6);
+            fullMs = Math.min(FULL_MOST_MS, 2 * fullMs);
+        }
+
+        void tookOne() {
+            turnedAway = false;
+            fullMs = FULL_FIRST_MS;
+        }
+
+        Exchange nextWaiting() {
+            Exchange next = waiting.pollFirst();
+            while (next != null && next.over) {
+                next = waiting.pollFirst();
+            }
+            return next;
+        }
     }
 
     /** One request to one node and its one outcome. */
@@ -359,6 +448,7 @@
         private Future<?> stallTimer;
         private long idleSince;
         private boolean used;
+        private boolean answered;
 
         Connection(Target target) {
             this.target = target;
@@ -450,8 +540,17 @@
             } else {
                 context.close();
             }
+            Outcome outcome = outcome(response);
+            if (!answered && outcome == Outcome.REJECTED && !HttpUtil.isKeepAlive(response)) {
+                // A new connection that is closed again unheard: the node's table is full, whatever its cores do.
+                outcome = Outcome.CONNECT_FAILED;
+                target.turnedAway(nanos.getAsLong(), random.nextDouble());
+            } else if (!answered) {
+                target.tookOne();
+            }
+            answered = true;
             try {
-                exchange.end(outcome(response), response);
+                exchange.end(outcome, response);
             } finally {
                 response.release();
             }
@@ -468,6 +567,11 @@
                 context.close();
                 return;
             }
+            Exchange waits = target.nextWaiting();
+            if (waits != null) {
+                write(waits);
+                return;
+            }
             target.idle.addFirst(this);
             watchIdle();
         }
--- a/src/main/java/hopglade/proxy/Proxy.java
+++ b/src/main/java/hopglade/proxy/Proxy.java
@@ -65,11 +65,20 @@
     static final class Tally {
         final int[] lookUps = new int[Outcome.values().length];
         final int[] fetches = new int[Outcome.values().length];
+        /** Refusals by how the request's last attempt had ended: what a proxy gives up on, and after what. */
+        final int[] refusedAfter = new int[Outcome.values().length];
+        int refusedUntried;
+        private double fetchedMs;
         int requests;
         int served;
         int refused;
         int failed;
         int gone;
+
+        /** Mean time of the fetches that were served, in milliseconds. */
+        long fetchMs() {
+            return Math.round(fetchedMs / Math.max(1, fetches[Outcome.OK.ordinal()]));
+        }
     }
 
     private interface Event {
@@ -144,6 +153,11 @@
         return router.level();
     }
 
+    /** The origin's id; empty as long as no list has named one. */
+    String origin() {
+        return origin;
+    }
+
     void hosts(ListKind kind, HostList list) {
         list.nodes().stream().filter(n -> n.model() != null && n.model().equals(settings.originModel()))
                 .forEach(n -> origin = n.id());
@@ -200,7 +214,11 @@
     private void ended(Call call, int attempt, String node, double sentAt, Outcome outcome, FullHttpResponse response) {
         call.out = null;
         call.proven &= outcome.provesNotRun();
+        call.last = outcome;
         count(node, outcome);
+        if (outcome == Outcome.OK && node.equals(origin)) {
+            tally.fetchedMs += clock.now() - sentAt;
+        }
         if (outcome == Outcome.OK && !call.over) {
             tally.served++;
             settle(call);
@@ -368,6 +386,11 @@
 
     private void refuseNow(Call call, double retryAfterMs) {
         tally.refused++;
+        if (call.last == null) {
+            tally.refusedUntried++;
+        } else {
+            tally.refusedAfter[call.last.ordinal()]++;
+        }
         settle(call);
         call.client.refused(retryAfterMs);
     }
@@ -460,6 +483,8 @@
         Future<?> backstop;
         Attempt out;
         int attempts;
+        /** How its latest attempt ended; null before one has. */
+        Outcome last;
         boolean proven = true;
         boolean over;
 
--- a/src/main/java/hopglade/proxy/Service.java
+++ b/src/main/java/hopglade/proxy/Service.java
@@ -76,7 +76,7 @@
         int sockets = Math.max(2, config.sockets() - RESERVED_SOCKETS);
         int clientSockets = Math.max(1, (int) (sockets * CLIENT_PART));
         pool = new NodePool(loop, Transport.TCP, settings.limits().connectTimeoutMs(), settings.connections().idleMs(),
-                Math.max(1, sockets - clientSockets));
+                Math.max(1, sockets - clientSockets), config.seed());
         pool.serve(settings.classes());
         proxy = new Proxy(loop, clock, settings, router, pool, config.maxOpen());
         clients = new ClientServer(loop, proxy, settings, clientSockets);
@@ -273,7 +273,9 @@
         Proxy.Tally t = proxy.tally();
         Log.event("tally", "requests", t.requests, "served", t.served, "refused", t.refused, "failed", t.failed,
                 "gone", t.gone, "owed", proxy.owed(), "clients", clients.connections(), "nodes", pool.connections(),
-                "look_ups", counts(t.lookUps), "fetches", counts(t.fetches));
+                "look_ups", counts(t.lookUps), "fetches", counts(t.fetches),
+                "refused_untried", t.refusedUntried, "refused_after", counts(t.refusedAfter),
+                "origin_connections", pool.connections(proxy.origin()), "fetch_ms", t.fetchMs());
         if (sharing != null) {
             sharing.logTally();
         }
--- a/src/main/java/hopglade/proxy/Warmup.java
+++ b/src/main/java/hopglade/proxy/Warmup.java
@@ -142,7 +142,8 @@
     }
 
     void start() throws InterruptedException {
-        NodePool pool = new NodePool(loop, Transport.IN_PROCESS, CONNECT_MS, settings.connections().idleMs(), NODES * AT_ONCE);
+        NodePool pool = new NodePool(loop, Transport.IN_PROCESS, CONNECT_MS, settings.connections().idleMs(), NODES * AT_ONCE,
+                1);
         Proxy proxy = new Proxy(loop, new Clock(), settings, new Decide(settings, 0), pool, AT_ONCE + 1);
         ClientServer clients = new ClientServer(loop, proxy, settings, 2 * AT_ONCE);
         LocalAddress front = new LocalAddress(Warmup.class);
--- a/src/test/java/hopglade/PathTest.java
+++ b/src/test/java/hopglade/PathTest.java
@@ -101,6 +101,25 @@
         assertNotEquals("db", b.nodeOf(waiting));
     }
 
+    @Test
+    void anOriginWhoseTableIsFullIsAskedOnceMoreAndNotTakenForOverloaded() {
+        Bench b = Bench.withCaches(4);
+        for (int interval = 0; interval < 10; interval++) {
+            for (int i = 0; i < 10; i++) {
+                String id = b.ask("dear", 100 * interval + i);
+                while (!b.nodeOf(id).equals("db")) {
+                    b.end(id, Outcome.MISS);
+                }
+                b.end(id, Outcome.CONNECT_FAILED);
+                assertEquals("db", b.nodeOf(id));
+                assertEquals(0, b.out.answers(id), "never sent, so it is still owed an answer");
+                b.end(id, Outcome.OK);
+            }
+            b.advance(1000);
+            assertEquals(0, b.router.level());
+        }
+    }
+
     @Test
     void aHeldReadGoesOnAloneWhenTheFetchFails() {
         Bench b = Bench.withCaches(4);
--- /dev/null
+++ b/src/test/java/hopglade/proxy/FullTableTest.java
@@ -0,0 +1,90 @@
+package hopglade.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import hopglade.Router.Availability;
+import hopglade.Router.Outcome;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** A node that holds one connection and no more, as its table is full of others': it is healthy, and nothing is lost. */
+class FullTableTest extends WithPool {
+
+    private static final String[] TURNED_AWAY = {"X-Rejected: 1", "Connection: close"};
+
+    /** One exchange is out on the only connection, and the node has turned a second one away. */
+    private Peer.Message onlyOne() throws Exception {
+        send();
+        Peer.Message out = node.next();
+        send();
+        node.next().wire().answer(503, "", TURNED_AWAY);
+        assertEquals(Outcome.CONNECT_FAILED, Scripted.next(outcomes));
+        assertNull(node.next().text());
+        return out;
+    }
+
+    @Test
+    void whatComesThenWaitsForTheConnectionThatThereIs() throws Exception {
+        Peer.Message out = onlyOne();
+        send();
+        send();
+        out.wire().answer(200, "v");
+        assertEquals(Outcome.OK, Scripted.next(outcomes));
+        for (int i = 0; i < 2; i++) {
+            rested();
+            Peer.Message waited = node.next();
+            assertEquals(out.wire().number(), waited.wire().number());
+            waited.wire().answer(200, "v");
+            assertEquals(Outcome.OK, Scripted.next(outcomes));
+        }
+    }
+
+    @Test
+    void anotherIsTriedAfterAPause() throws Exception {
+        Peer.Message out = onlyOne();
+        send();
+        nanos.addAndGet(TimeUnit.SECONDS.toNanos(1));
+        Peer.Message tried = node.next();
+        assertTrue(tried.wire().number() > out.wire().number());
+        tried.wire().answer(200, "v");
+        assertEquals(Outcome.OK, Scripted.next(outcomes));
+    }
+
+    @Test
+    void anUnderUseTurnedAwayIsTheNodesOwnWord() throws Exception {
+        send();
+        Peer.Message out = node.next();
+        out.wire().answer(200, "v");
+        assertEquals(Outcome.OK, Scripted.next(outcomes));
+        rested();
+        send();
+        node.next().wire().answer(503, "", TURNED_AWAY);
+        assertEquals(Outcome.REJECTED, Scripted.next(outcomes));
+    }
+
+    @Test
+    void whatWaitsEndsWhenTheNodeIsGone() throws Exception {
+        onlyOne();
+        send();
+        list(Availability.GONE);
+        assertEquals(Outcome.CONNECT_FAILED, Scripted.next(outcomes));
+    }
+
+    @Test
+    void aSpareConnectionClosesSoonAndTheLastOneStays() throws Exception {
+        send();
+        Peer.Message first = node.next();
+        send();
+        Peer.Message second = node.next();
+        first.wire().answer(200, "v");
+        second.wire().answer(200, "v");
+        Scripted.next(outcomes);
+        Scripted.next(outcomes);
+        rested();
+        nanos.addAndGet(TimeUnit.SECONDS.toNanos(1));
+        assertNull(node.next().text(), "the spare one is closed by the proxy");
+        assertEquals(1, loop.submit(() -> pool.connections("c0")).get());
+    }
+}
--- /dev/null
+++ b/src/test/java/hopglade/proxy/WithPool.java
@@ -0,0 +1,62 @@
+package hopglade.proxy;
+
+import hopglade.Router.Availability;
+import hopglade.Router.Node;
+import hopglade.Router.Outcome;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+
+/** A pool with one scripted node c0, and a clock that moves only when a test says so. */
+abstract class WithPool {
+
+    final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    final AtomicLong nanos = new AtomicLong();
+    final BlockingQueue<Outcome> outcomes = new LinkedBlockingQueue<>();
+    Peer node;
+    NodePool pool;
+    EventLoop loop;
+
+    @BeforeEach
+    void start() throws Exception {
+        node = new Peer();
+        loop = group.next();
+        pool = new NodePool(loop, Transport.TCP, 5000, 60_000, 100, 1, nanos::get);
+        list(Availability.UP);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        node.close();
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS).await();
+    }
+
+    void list(Availability availability) throws Exception {
+        Node named = new Node("c0", "std", "a", 0, 1, 0, availability);
+        loop.submit(() -> pool.list(new HostList(1, true, List.of(new HostList.Host(named, node.address()))))).get();
+    }
+
+    void send() {
+        loop.execute(() -> pool.send("c0",
+                () -> new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api/k1"), 60_000,
+                (exchange, outcome, response) -> outcomes.add(outcome)));
+    }
+
+    /** Waits until each connection's rest is over, which its clock and a timer of the loop end. */
+    void rested() throws Exception {
+        nanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(5));
+        while (!loop.submit(pool::isRested).get()) {
+            loop.schedule(() -> { }, 1, TimeUnit.MILLISECONDS).get();
+        }
+    }
+}
