--- a/src/main/java/hopglade/proxy/Warmup.java
+++ b/src/main/java/hopglade/proxy/Warmup.java
@@ -49,8 +49,11 @@
     static final int REQUESTS = 2000;
     /** It may take no longer while peers serve: at a rolling restart the next proxy goes down 3 s after this one did. */
     private static final long PATIENCE_MS = 2000;
-    /** And so much longer where none is heard or none may speak: at the first start of all nobody waits for us. */
-    private static final long ALONE_MS = 2000;
+    /**
+     * And so much longer where none is heard or none may speak: at the first start of all nobody waits for us, and on
+     * half a core all of it takes nine seconds.
+     */
+    private static final long ALONE_MS = 8000;
     /**
      * All that a proxy which served before may take. It is told to stop 3 s before the next one is, is started anew
      * two seconds later, and the Java machine's start takes one on half a core; once the next has ended, nobody serves.
@@ -66,12 +69,19 @@
     private final EventLoop loop = group.next();
     private final CountDownLatch done = new CountDownLatch(1);
     private final Settings settings;
+    private final long lastsMs;
+    private long endsAt;
     private int sent;
     private volatile int served;
     private volatile boolean over;
 
-    Warmup(Settings settings) {
+    /**
+     * Its clients stop asking by themselves after {@code lastsMs}: the loop leaves the core to no other thread as long as
+     * it finds work, so whoever waits for the end may get no turn to call it.
+     */
+    Warmup(Settings settings, long lastsMs) {
         this.settings = settings;
+        this.lastsMs = lastsMs;
     }
 
     /** Returns how many requests were answered, when it has run long enough; a fault in it costs its gain alone. */
@@ -80,7 +90,7 @@
         long begun = System.nanoTime();
         long started = begun;
         long ending = begun;
-        Warmup warmup = new Warmup(settings);
+        Warmup warmup = new Warmup(settings, patienceMs(known) + moreMs(known, false));
         try (PeerEar ear = new PeerEar(peerListen)) {
             warmup.start();
             started = System.nanoTime();
@@ -114,6 +124,10 @@
         return servedBefore(known) || peersHeard ? 0 : ALONE_MS;
     }
 
+    void awaitDone() throws InterruptedException {
+        done.await();
+    }
+
     /** Its clients ask no more from here on: a loop that is told to end goes on as long as it finds work. */
     void halt() {
         over = true;
@@ -142,6 +156,7 @@
     }
 
     void start() throws InterruptedException {
+        endsAt = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(lastsMs);
         NodePool pool = new NodePool(loop, Transport.IN_PROCESS, CONNECT_MS, settings.connections().idleMs(), NODES * AT_ONCE,
                 1);
         Proxy proxy = new Proxy(loop, new Clock(), settings, new Decide(settings, 0), pool, AT_ONCE + 1);
@@ -228,7 +243,7 @@
             if (answer.status().equals(HttpResponseStatus.OK)) {
                 answered();
             }
-            if (sent < REQUESTS && !over) {
+            if (sent < REQUESTS && !over && System.nanoTime() - endsAt < 0) {
                 ask(ctx);
             } else {
                 done.countDown();
