Wait for a connection no longer than connecting may take

Seen: a restarted proxy finds the origin's table full of others' connections. Of its fetches 156 ended as CANCELLED beside 18 served, each after its request's whole time, and its level stayed at 0 for four seconds meanwhile: a fetch that waits ends only with its request.

Ruled out: the shares of the table as such. Giving a quarter of them back when turned away changed nothing.

At fault: NodePool.waitFor, which bounded a wait by the exchange's time alone.

--- a/src/main/java/hopglade/proxy/NodePool.java
+++ b/src/main/java/hopglade/proxy/NodePool.java
@@ -83,6 +83,7 @@
     private final EventLoop loop;
     private final Bootstrap bootstrap;
     private final double idleMs;
+    private final int connectTimeoutMs;
     private final int maxConnections;
     private final Map<String, Target> targets = new HashMap<>();
     private final Deque<Connection> resting = new ArrayDeque<>();
@@ -107,8 +108,9 @@
         this.random = new SplittableRandom(seed);
         this.idleMs = idleMs * IDLE_PART;
         this.maxConnections = maxConnections;
+        this.connectTimeoutMs = Math.max(1, (int) connectTimeoutMs);
         this.bootstrap = transport.client(loop)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, Math.max(1, (int) connectTimeoutMs));
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, this.connectTimeoutMs);
     }
 
     /** Takes to heart how soon answers are wanted. */
@@ -208,9 +210,13 @@
         return exchange;
     }
 
-    /** Until a connection of ours comes free, or one more may be tried; the exchange's own time goes on. */
+    /**
+     * Until a connection of ours comes free or one more may be tried, and no longer than making one may take: what waits
+     * until its own time is up is answered late, and the module learns of it too late.
+     */
     private void waitFor(Target target, Exchange exchange) {
         target.waiting.addLast(exchange);
+        loop.schedule(exchange::unconnected, connectTimeoutMs, TimeUnit.MILLISECONDS);
         openLater(target);
     }
 
@@ -391,6 +397,12 @@
             abandon(written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED);
         }
 
+        private void unconnected() {
+            if (channel == null) {
+                end(Outcome.CONNECT_FAILED, null);
+            }
+        }
+
         private void broken() {
             end(written ? Outcome.RESET : Outcome.CONNECT_FAILED, null);
         }
--- a/src/test/java/hopglade/proxy/FullTableTest.java
+++ b/src/test/java/hopglade/proxy/FullTableTest.java
@@ -41,6 +41,14 @@
         }
     }
 
+    /** The node keeps its one exchange for ever: what waits is given up long before its own 60 s are over. */
+    @Test
+    void itWaitsNoLongerThanConnectingMayTake() throws Exception {
+        onlyOne();
+        send();
+        assertEquals(Outcome.CONNECT_FAILED, Scripted.next(outcomes));
+    }
+
     @Test
     void anotherIsTriedAfterAPause() throws Exception {
         Peer.Message out = onlyOne();
--- a/src/test/java/hopglade/proxy/WithPool.java
+++ b/src/test/java/hopglade/proxy/WithPool.java
@@ -20,6 +20,8 @@
 /** A pool with one scripted node c0, and a clock that moves only when a test says so. */
 abstract class WithPool {
 
+    private static final int CONNECT_MS = 5000;
+
     final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     final AtomicLong nanos = new AtomicLong();
     final BlockingQueue<Outcome> outcomes = new LinkedBlockingQueue<>();
@@ -31,7 +33,7 @@
     void start() throws Exception {
         node = new Peer();
         loop = group.next();
-        pool = new NodePool(loop, Transport.TCP, 5000, 60_000, 100, 1, nanos::get);
+        pool = new NodePool(loop, Transport.TCP, CONNECT_MS, 60_000, 100, 1, nanos::get);
         list(Availability.UP);
     }
 
