Say once which fetches tell nothing, and what a full table's pause depends on

Read once more: whether a fetch is already counted as overdue was asked three times in a row; it is now one of the reasons why it tells nothing. The comment on the pause after a full table said that it holds only while other connections are open, which the code never asked, and the one on the pool's clock named idle times alone. The count of spare connections is named after what it counts.

--- a/src/main/java/hopglade/Decide.java
+++ b/src/main/java/hopglade/Decide.java
@@ -322,12 +322,12 @@
         if (fetched || !hasOrigin && end.note() > 1) {
             double aim = r == null ? INTERVAL_MS : r.service.aimMs();
             boolean untold = end.outcome() == Outcome.CANCELLED || end.outcome() == Outcome.NEVER_SENT
-                    || turnedAway(end);
-            if (!untold && (r == null || !r.overdue) && broke(end.outcome())) {
+                    || turnedAway(end) || r != null && r.overdue;
+            if (!untold && broke(end.outcome())) {
                 control.countBroken();
-            } else if (!untold && (r == null || !r.overdue) && end.outcome() == Outcome.ERROR) {
+            } else if (!untold && end.outcome() == Outcome.ERROR) {
                 control.countSpoilt();
-            } else if (!untold && (r == null || !r.overdue)) {
+            } else if (!untold) {
                 control.count(end.outcome() == Outcome.OK && end.elapsedMs() <= aim);
             }
         }
--- a/src/main/java/hopglade/proxy/NodePool.java
+++ b/src/main/java/hopglade/proxy/NodePool.java
@@ -62,9 +62,8 @@
     private static final double STALL_PART = 0.25;
     private static final double STALL_MOST_MS = 200;
     /**
-     * How long no further connection is opened after a node has turned one away, while there are others of ours that may
-     * come free: at first and, doubling with each one turned away, at most. What waits so is spread at random, as every
-     * proxy meets the same full table.
+     * How long no further connection is opened after a node has turned one away: at first and, doubling with each one
+     * turned away, at most. Spread at random, as every proxy meets the same full table.
      */
     private static final double FULL_FIRST_MS = 50;
     private static final double FULL_MOST_MS = 1000;
@@ -100,7 +99,7 @@
         this(loop, transport, connectTimeoutMs, idleMs, maxConnections, seed, System::nanoTime);
     }
 
-    /** {@code nanos} is the clock that idle times are read from. */
+    /** {@code nanos} is the clock that idle times and pauses are read from; {@code seed} spreads the pauses. */
     NodePool(EventLoop loop, Transport transport, double connectTimeoutMs, double idleMs, int maxConnections,
              long seed, LongSupplier nanos) {
         this.loop = loop;
@@ -266,10 +265,10 @@
         double limit = Math.min(idleMs, ages.limitMs(now));
         boolean left = false;
         for (Target target : targets.values()) {
-            int held = target.connections;
+            int spare = target.connections - 1;
             for (Connection c = target.idle.peekLast();
-                    c != null && c.idleMs(now) >= (held > 1 ? Math.min(limit, SPARE_MS) : limit); c = target.idle.peekLast()) {
-                held--;
+                    c != null && c.idleMs(now) >= (spare > 0 ? Math.min(limit, SPARE_MS) : limit); c = target.idle.peekLast()) {
+                spare--;
                 target.idle.removeLast();
                 c.context.close();
             }
