End a full table's pause only by a connection opened after it was met

Symptom: FullTableTest.whatComesThenWaitsForTheConnectionThatThereIs failed once on a busy machine: what waited went out on a third connection, not on the one that there was.

Cause: in NodePool.Connection.finish any first answer that is no rejection called Target.tookOne, also that of a connection opened before the node turned the other one away. Such an answer says nothing of room for one more; the pause ended at once, and the try due 25 to 75 ms after the wait began met no pause where the test thread was slower than that. So it is a fault of the pool, not of the test.

Change: a connection remembers whether it was opened after one had been turned away, and only such a one ends the pause.

--- a/src/main/java/hopglade/proxy/NodePool.java
+++ b/src/main/java/hopglade/proxy/NodePool.java
@@ -460,9 +460,12 @@
         private long idleSince;
         private boolean used;
         private boolean answered;
+        /** Opened after one was turned away: only such a one tells whether the node takes connections again. */
+        private final boolean tried;
 
         Connection(Target target) {
             this.target = target;
+            this.tried = target.turnedAway;
         }
 
         @Override
@@ -556,7 +559,7 @@
                 // A new connection that is closed again unheard: the node's table is full, whatever its cores do.
                 outcome = Outcome.CONNECT_FAILED;
                 target.turnedAway(nanos.getAsLong(), random.nextDouble());
-            } else if (!answered) {
+            } else if (!answered && tried) {
                 target.tookOne();
             }
             answered = true;
--- a/src/test/java/hopglade/proxy/FullTableTest.java
+++ b/src/test/java/hopglade/proxy/FullTableTest.java
@@ -41,6 +41,24 @@
         }
     }
 
+    /** It was taken before the other was turned away, so its answer says nothing of room for one more. */
+    @Test
+    void theAnswerOfAnOlderConnectionEndsNoPause() throws Exception {
+        Peer.Message out = onlyOne();
+        out.wire().answer(200, "v");
+        assertEquals(Outcome.OK, Scripted.next(outcomes));
+        rested();
+        send();
+        send();
+        for (int i = 0; i < 2; i++) {
+            Peer.Message next = node.next();
+            assertEquals(out.wire().number(), next.wire().number());
+            next.wire().answer(200, "v");
+            assertEquals(Outcome.OK, Scripted.next(outcomes));
+            rested();
+        }
+    }
+
     /** The node keeps its one exchange for ever: what waits is given up long before its own 60 s are over. */
     @Test
     void itWaitsNoLongerThanConnectingMayTake() throws Exception {
