Log what changed in a server list, not every entry of each

Need: weights change all the time, so each proxy of the large fleet wrote 60 lines a second, and a restart 60 at once, which buried what happens. Lines at fault: Discovery.line logged each entry. Change: ListChanges keeps what was told last and picks what came, went, moved, started anew or changed its availability; a host that a whole list no longer names is logged as gone, which was not told before.

--- a/src/main/java/hopglade/proxy/Discovery.java
+++ b/src/main/java/hopglade/proxy/Discovery.java
@@ -48,6 +48,7 @@
     private final boolean pushed;
     private final Runnable heard;
     private final Log log = new Log();
+    private final ListChanges changes = new ListChanges();
     private long version;
     private long backoffMs = FIRST_BACKOFF_MS;
     private Channel watch;
@@ -138,7 +139,7 @@
             try {
                 HostList list = HostList.parse(JsonParser.parseString(line).getAsJsonObject());
                 version = list.version();
-                list.hosts().forEach(h -> Log.event("list", "version", version, "node", h.node().id(),
+                changes.of(list).forEach(h -> Log.event("list", "version", version, "node", h.node().id(),
                         "availability", h.node().availability(), "dial", h.dial()));
                 proxy.hosts(list.whole() ? ListKind.FULL : ListKind.CHANGES, list);
             } catch (RuntimeException e) {
