--- a/src/main/java/hopglade/lab/Draw.java
+++ b/src/main/java/hopglade/lab/Draw.java
@@ -13,7 +13,7 @@
 
     private static final double S = 1000;
     /** Numbers of the streams that one seed is split into. */
-    public enum Stream { FLEET, ARRIVALS, KEYS, WORK, CLIENTS, WORLD, HOSTILE, STORES, FAULTS, GOSSIP }
+    public enum Stream { FLEET, ARRIVALS, KEYS, WORK, CLIENTS, WORLD, HOSTILE, STORES, FAULTS, GOSSIP, POOLS }
 
     private Draw() { }
 
@@ -42,7 +42,7 @@
         double bytes = 0.5 * (fleet.bytes()[0] + fleet.bytes()[1]) * fleet.keys();
         long memory = (long) Math.max(1, fleet.kept() * bytes / fleet.nodes());
         List<NodeMake> nodes = new ArrayList<>();
-        for (int i = 0; i < fleet.nodes(); i++) {
+        for (int i = 0; i < fleet.nodes() + fleet.spares(); i++) {
             Experiment.Kind kind = kind(fleet.kinds(), random.nextDouble());
             nodes.add(new NodeMake("node-" + i, kind.name(), i % zones, machine(kind, random), memory, fleet.missWorkMs(),
                     fleet.handshakeMs(), fleet.connections(), fleet.errorShare()));
@@ -50,13 +50,13 @@
         Experiment.Origin o = e.origin();
         Installation.OriginMake origin = new Installation.OriginMake("origin", 0,
                 new Machine.Make(o.cores(), o.speed(), o.slots(), o.room(), 1, 0, 0), o.fetchShare(), o.writeTimes(),
-                o.fallMultiple(), o.fallS() * S, ms(o.downS()), fleet.handshakeMs(), fleet.connections());
+                o.fallMultiple(), o.fallS() * S, ms(o.downS()), fleet.handshakeMs(), o.connections());
         List<Integer> proxyZones = new ArrayList<>();
         for (int i = 0; i < e.proxies().count(); i++) {
             proxyZones.add(i % zones);
         }
-        return new Installation(fleet.zones(), links, nodes, origin, proxyZones,
-                new Installation.Roster(ms(e.discovery().delayS()), ms(e.discovery().weightS())),
+        return new Installation(fleet.zones(), links, nodes.subList(0, fleet.nodes()), nodes.subList(fleet.nodes(), nodes.size()), origin, proxyZones,
+                new Installation.Roster(ms(e.discovery().delayS()), ms(e.discovery().weightS()), S / e.discovery().listsPerS()),
                 new Installation.Storing(fleet.keys(), fleet.bytes(), fleet.ttlS() * S));
     }
 
--- a/src/main/java/hopglade/lab/Experiment.java
+++ b/src/main/java/hopglade/lab/Experiment.java
@@ -8,11 +8,11 @@
  * and the most. See {@link ExperimentFile} for the keys and their bounds.
  */
 public record Experiment(String name, String about, long seed, double durationS, Fleet fleet, Origin origin,
-                         Discovery discovery, Proxies proxies, Gossip gossip, Load load, Rules rules, List<Fault> faults,
+                         Discovery discovery, Proxies proxies, Gossip gossip, Load load, Rules rules, Prices prices, List<Fault> faults,
                          List<Expect> expects) {
 
-    /** Cache nodes, their zones and the links between them. */
-    public record Fleet(int nodes, List<String> zones, double[] linkMs, double localMs, List<Kind> kinds, double missWorkMs,
+    /** Cache nodes, those that may take another's place, their zones and the links between them. */
+    public record Fleet(int nodes, int spares, List<String> zones, double[] linkMs, double localMs, List<Kind> kinds, double missWorkMs,
                         double handshakeMs, int connections, double errorShare, double ttlS, long keys, double[] bytes,
                         double kept) { }
 
@@ -20,10 +20,11 @@
     public record Kind(String name, double share, int cores, double[] speed, int slots, int room, double[] coldFrom,
                        double coldS, double crowding) { }
 
-    public record Origin(int cores, double speed, int slots, int room, double fetchShare, double writeTimes,
+    public record Origin(int cores, double speed, int slots, int room, int connections, double fetchShare, double writeTimes,
                          double fallMultiple, double fallS, double[] downS) { }
 
-    public record Discovery(double[] delayS, double[] weightS) { }
+    /** {@code listsPerS} is how many whole lists it can hand out in a second, to all proxies together. */
+    public record Discovery(double[] delayS, double[] weightS, double listsPerS) { }
 
     /** {@code run} is the command that starts one; empty for that of deploy/balancer.toml. */
     public record Proxies(int count, String run, int memoryMb, int sockets, double noticeS) { }
@@ -49,6 +50,9 @@
     public record Rules(double slackMs, double drainMs, double coldMultiple, double coldWindowMs, double refusalIdleShare,
                         int attempts, boolean secondCopies) { }
 
+    /** Points of worth taken off for each new connection, attempt that crosses zones and unit of abandoned work, by first tries. */
+    public record Prices(double connection, double crossing, double waste) { }
+
     /** A bound on a figure of the results; infinite where a side is open. */
     public record Expect(String figure, double min, double max) { }
 }
--- a/src/main/java/hopglade/lab/ExperimentFile.java
+++ b/src/main/java/hopglade/lab/ExperimentFile.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.regex.Pattern;
+import java.util.stream.IntStream;
 
 /** Reads an experiment's TOML. Everything is checked before anything starts. */
 public final class ExperimentFile {
@@ -23,6 +24,8 @@
     private static final int GOSSIP_BYTES = 4096;
     private static final int LEAST_GOSSIP_BYTES = 4096;
     private static final int MOST_GOSSIP_BYTES = 1 << 20;
+    /** How long a node that is replaced drains before it is gone. */
+    private static final double LEAVES_S = 2;
     private static final Pattern FIGURE = Pattern.compile("[a-z0-9_]+(\\.[A-Za-z0-9_-]+)+");
 
     private final Toml toml;
@@ -52,10 +55,10 @@
         }
         double duration = root.number("duration_s", 20, 1, DAY_S);
         Experiment.Fleet fleet = fleet(root.table("fleet"));
-        Experiment.Origin origin = origin(root.table("origin"));
+        Experiment.Origin origin = origin(root.table("origin"), fleet.connections());
         Toml.Table list = root.table("discovery");
         Experiment.Discovery discovery = new Experiment.Discovery(list.range("delay_s", new double[] {0.5, 2}, 0, 60),
-                list.range("weight_s", new double[] {0.5, 1.5}, 0.05, 60));
+                list.range("weight_s", new double[] {0.5, 1.5}, 0.05, 60), list.number("lists_per_s", 1000, 0.01, 100_000));
         list.done();
         Experiment.Proxies proxies = proxies(root.table("proxies"));
         Toml.Table talk = root.table("gossip");
@@ -64,16 +67,21 @@
         talk.done();
         Experiment.Load load = load(root.table("load"));
         Experiment.Rules rules = rules(root.table("rules"));
+        Toml.Table points = root.table("prices");
+        Experiment.Prices prices = new Experiment.Prices(points.number("connection", 0, 0, 100), points.number("crossing", 0, 0, 100),
+                points.number("waste", 0, 0, 100));
+        points.done();
         List<Fault> faults = new ArrayList<>();
         for (Toml.Table fault : root.tables("fault")) {
-            faults.add(fault(fault, duration, fleet, proxies, load));
+            Fault read = fault(fault, duration, fleet, proxies, load);
+            faults.addAll(read.what() == Fault.Kind.NODE_REPLACE ? replacements(fault, read, fleet) : List.of(read));
         }
         List<Experiment.Expect> expects = new ArrayList<>();
         for (Toml.Table expect : root.tables("expect")) {
             expects.add(expect(expect));
         }
         Experiment experiment = new Experiment(name, root.text("about", ""), root.whole("seed", 1, 0, Integer.MAX_VALUE),
-                duration, fleet, origin, discovery, proxies, gossip, load, rules, List.copyOf(faults), List.copyOf(expects));
+                duration, fleet, origin, discovery, proxies, gossip, load, rules, prices, List.copyOf(faults), List.copyOf(expects));
         root.done();
         return experiment;
     }
@@ -96,7 +104,7 @@
         if (zones.isEmpty() || zones.stream().distinct().count() < zones.size()) {
             throw t.bad("zones", zones.toString(), "one or more names, each once");
         }
-        Experiment.Fleet fleet = new Experiment.Fleet(t.whole("nodes", 9, 1, 2000), zones,
+        Experiment.Fleet fleet = new Experiment.Fleet(t.whole("nodes", 9, 1, 2000), t.whole("spares", 0, 0, 2000), zones,
                 t.range("link_ms", new double[] {5.6, 10}, 0, 1000), t.number("local_ms", 0.2, 0, 100), List.copyOf(kinds),
                 t.number("miss_work_ms", 0.5, 0, 1000), t.number("handshake_ms", 0.5, 0, 1000),
                 t.whole("connections", 400, 1, 100_000), t.number("error_share", 0.001, 0, 1), t.number("ttl_s", 120, 0.1, DAY_S),
@@ -106,11 +114,11 @@
         return fleet;
     }
 
-    private static Experiment.Origin origin(Toml.Table t) throws BadFileException {
+    private static Experiment.Origin origin(Toml.Table t, int connections) throws BadFileException {
         int cores = t.whole("cores", 4, 1, 4096);
         Experiment.Origin origin = new Experiment.Origin(cores, t.number("speed", 1, 0.01, 100),
                 t.whole("slots", Math.max(64, SLOTS_A_CORE * cores), 1, 100_000), t.whole("room", Math.max(200, ROOM_A_CORE * cores), 0, 1_000_000),
-                t.number("fetch_share", 0.6, 0.01, 100), t.number("write_times", 1.5, 0.1, 100), t.number("fall_multiple", 2.5, 0, 1000),
+                t.whole("connections", connections, 1, 100_000), t.number("fetch_share", 0.6, 0.01, 100), t.number("write_times", 1.5, 0.1, 100), t.number("fall_multiple", 2.5, 0, 1000),
                 t.number("fall_s", 3, 0.1, 600), t.range("down_s", new double[] {3, 6}, 0, 600));
         t.done();
         return origin;
@@ -193,7 +201,7 @@
                 case KEYS -> keys = t.whole(word, 1, 1, 1000);
                 case ZONE -> target = among(t, word, fleet.zones());
                 case CLASS -> target = among(t, word, load.classes().stream().map(Experiment.Class::name).toList());
-                case NODE -> target = numbered(t, word, "node-", fleet.nodes(), true);
+                case NODE -> target = what == Fault.Kind.NODE_START ? spare(t, word, fleet) : node(t, word, fleet);
                 case PROXY -> target = numbered(t, word, "proxy-", proxies.count(), false);
             }
         }
@@ -209,6 +217,39 @@
         return found;
     }
 
+    /** A zone's name stands for all its nodes. */
+    private static String node(Toml.Table t, String key, Experiment.Fleet fleet) throws BadFileException {
+        String found = t.text(key, "");
+        return fleet.zones().contains(found) ? found : numbered(t, key, "node-", fleet.nodes(), true);
+    }
+
+    private static String spare(Toml.Table t, String key, Experiment.Fleet fleet) throws BadFileException {
+        String found = t.text(key, "");
+        for (int i = 0; i < fleet.spares(); i++) {
+            if (found.equals("node-" + (fleet.nodes() + i))) {
+                return found;
+            }
+        }
+        throw t.bad(key, '"' + found + '"', fleet.spares() == 0 ? "nothing, as fleet.spares is 0"
+                : "node-" + fleet.nodes() + " to node-" + (fleet.nodes() + fleet.spares() - 1));
+    }
+
+    /** Evenly over the fault's time, a spare starts and the node whose place it takes drains. */
+    private static List<Fault> replacements(Toml.Table t, Fault all, Experiment.Fleet fleet) throws BadFileException {
+        List<Integer> struck = IntStream.range(0, fleet.nodes())
+                .filter(i -> all.target().equals(fleet.zones().get(i % fleet.zones().size())) || all.strikes("node-", i, fleet.nodes())).boxed().toList();
+        if (struck.size() > fleet.spares()) {
+            throw t.bad("node", all.label(), "at most fleet.spares nodes, which is " + fleet.spares());
+        }
+        List<Fault> made = new ArrayList<>();
+        for (int i = 0; i < struck.size(); i++) {
+            double at = all.atS() + all.forS() * i / struck.size();
+            made.add(new Fault(Fault.Kind.NODE_START, at, 0, "node-" + (fleet.nodes() + i), 0, 0, 0));
+            made.add(new Fault(Fault.Kind.NODE_DRAIN, at, LEAVES_S, "node-" + struck.get(i), 0, 0, 0));
+        }
+        return made;
+    }
+
     private static String numbered(Toml.Table t, String key, String prefix, int count, boolean origin) throws BadFileException {
         String found = t.text(key, "");
         boolean good = found.equals("*") || PART.matcher(found).matches() || origin && found.equals("origin");
--- a/src/main/java/hopglade/lab/faults/Fault.java
+++ b/src/main/java/hopglade/lab/faults/Fault.java
@@ -10,7 +10,7 @@
  * @param what     its kind
  * @param atS      when it begins, in seconds of the run
  * @param forS     how long it lasts, in seconds
- * @param target   a node ({@code node-3}, {@code *} for all, {@code 30%} for a part), {@code origin}, a proxy ({@code proxy-0}, as for nodes) or a zone
+ * @param target   a node ({@code node-3}, {@code *} for all, {@code 30%} for a part, a zone's name for its own), {@code origin}, a proxy ({@code proxy-0}, as for nodes) or a zone
  * @param share    part of what it strikes, 0 to 1
  * @param factor   how much slower or heavier, as a multiple; for {@code discovery-stale} the seconds that news is later;
  *                 for {@code hostile} the peers a second
@@ -32,6 +32,10 @@
         NODE_KILL(Key.NODE),
         /** It dies and is back, empty and cold, after {@code for_s}. */
         NODE_RESTART(Key.NODE, Key.FOR_S),
+        /** A spare machine starts, empty and cold, under a name that no proxy has heard of. */
+        NODE_START(Key.NODE),
+        /** Spread over {@code for_s}, a spare starts for each, which drains then: read as one {@link #NODE_START} and {@link #NODE_DRAIN} each. */
+        NODE_REPLACE(Key.NODE, Key.FOR_S),
         /** The list says that it drains; after {@code for_s} it is gone. */
         NODE_DRAIN(Key.NODE, Key.FOR_S),
         /** The machine says nothing more: connections stay open and silent, new ones never come up. */
--- a/src/main/java/hopglade/lab/report/Figures.java
+++ b/src/main/java/hopglade/lab/report/Figures.java
@@ -140,14 +140,14 @@
         fetches.forEach(a -> bySecond.merge((int) (a.lastByteAt / MS_PER_S), a.workMs, Double::sum));
         put("origin.load_peak", bySecond.values().stream().mapToDouble(w -> w).max().orElse(0) / capacity);
         Map<String, Double> byNode = new HashMap<>();
-        plan.nodes().forEach(n -> byNode.put(n.id(), 0.0));
+        plan.machines().forEach(n -> byNode.put(n.id(), 0.0));
         lookUps.forEach(a -> byNode.merge(a.machine, 1.0, Double::sum));
         put("routing.busiest_over_mean", busiest(byNode));
         // Of a node's own capacity: machines differ, and a count would blame the large ones.
         Map<String, Double> use = new HashMap<>();
         Map<String, Double> sizes = new HashMap<>();
-        plan.nodes().forEach(n -> use.put(n.id(), 0.0));
-        plan.nodes().forEach(n -> sizes.put(n.id(), n.machine().cores() * n.machine().speed()));
+        plan.machines().forEach(n -> use.put(n.id(), 0.0));
+        plan.machines().forEach(n -> sizes.put(n.id(), n.machine().cores() * n.machine().speed()));
         lookUps.forEach(a -> use.merge(a.machine, a.workMs / sizes.get(a.machine), Double::sum));
         put("routing.busiest_use_over_mean", busiest(use));
         double wasted = all.stream().filter(a -> a.ran && a.closedAt < Double.POSITIVE_INFINITY).mapToDouble(a -> a.workMs).sum();
--- a/src/main/java/hopglade/lab/report/Played.java
+++ b/src/main/java/hopglade/lab/report/Played.java
@@ -37,6 +37,10 @@
             figures.merge("violations.all", 1.0, Double::sum);
         }
         figures.putAll(own);
+        Experiment.Prices prices = experiment.prices();
+        double asked = Math.max(1, figures.get("load.requests"));
+        figures.put("served.after_prices", figures.get("served.worth") - prices.connection() * figures.get("machines.connections_opened") / asked
+                - prices.crossing() * figures.get("attempts.crossing_share") - prices.waste() * figures.get("attempts.abandoned_work_share"));
         return new Results(Results.FORM, experiment.name(), experiment.about(), driver, experiment.seed(), load.digest(), figures, timeline,
                 marks.stream().sorted(Comparator.comparingDouble(Mark::atS)).toList(),
                 violations.stream().limit(MOST_VIOLATIONS).map(Violation::toString).toList(), Results.missed(figures, experiment.expects()));
--- a/src/main/java/hopglade/lab/sockets/Machines.java
+++ b/src/main/java/hopglade/lab/sockets/Machines.java
@@ -10,6 +10,7 @@
 import hopglade.lab.world.World.Job;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -21,6 +22,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
@@ -64,6 +66,7 @@
     private final Map<Long, Out> out = new HashMap<>();
     private long attempts;
     private int connections;
+    private int turnedAway;
 
     /** An attempt that waits for its answer, and where that goes. */
     private record Out(Attempt attempt, Link link, double delayMs) { }
@@ -100,7 +103,7 @@
     }
 
     void open() throws InterruptedException {
-        plan.nodes().forEach(n -> hosts.put(n.id(), new Host(n.id(), n.zone(), n.connections(), false)));
+        plan.machines().forEach(n -> hosts.put(n.id(), new Host(n.id(), n.zone(), n.connections(), false)));
         hosts.put(plan.origin().id(), new Host(plan.origin().id(), plan.origin().zone(), plan.origin().connections(), true));
         for (Host host : hosts.values()) {
             for (int proxy = 0; proxy < plan.proxyZones().size(); proxy++) {
@@ -110,6 +113,7 @@
                 host.doors.add(doors);
             }
         }
+        plan.spares().forEach(n -> hosts.get(n.id()).doors.forEach(Doors::shut));
     }
 
     String dial(String machine, int proxy) {
@@ -121,6 +125,11 @@
         return connections;
     }
 
+    /** Those of them that a full table turned away. */
+    int turnedAway() {
+        return turnedAway;
+    }
+
     // Faults, on the loop.
 
     void died(String machine) {
@@ -191,7 +200,7 @@
             return;
         }
         world.handshake(clock.now(), host.id, effects);
-        Link link = new Link(channel, host, proxy);
+        Link link = new Link(channel, host, proxy, host.open > host.cap);
         channel.pipeline().addLast(new IdleStateHandler(0, 0, (long) idleMs, TimeUnit.MILLISECONDS), link.bytes,
                 new HttpServerCodec(), new HttpObjectAggregator(MAX_BODY), link);
     }
@@ -215,16 +224,19 @@
         private final int proxy;
         private final ChannelInboundHandlerAdapter bytes = new FirstByte();
         private final Doors doors;
+        /** The host's table was full when it came: its first request is turned away, and it is closed. */
+        private final boolean beyond;
         private double firstByteAt = -1;
         private boolean used;
         private int out;
         private Attempt open;
 
-        Link(SocketChannel channel, Host host, int proxy) {
+        Link(SocketChannel channel, Host host, int proxy, boolean beyond) {
             this.channel = channel;
             this.host = host;
             this.proxy = proxy;
             this.doors = host.doors.get(proxy);
+            this.beyond = beyond;
         }
 
         private final class FirstByte extends ChannelInboundHandlerAdapter {
@@ -279,8 +291,9 @@
             if (doors.silent() || !world.alive(host.id)) {
                 return;
             }
-            if (host.open > host.cap) {
-                answer(a.number, new Answer(HttpResponseStatus.SERVICE_UNAVAILABLE.code(), "", true, World.Manner.WHOLE, 0, 0, false));
+            if (beyond) {
+                turnedAway++;
+                answer(a.number, World.rejected());
             } else {
                 world.request(clock.now(), host.id, a.number, proxy, job, effects);
             }
@@ -310,7 +323,10 @@
                             HttpResponseStatus.valueOf(answer.status()), Unpooled.wrappedBuffer(body));
                     head(whole, answer, body.length);
                     a.answeredAt = clock.now();
-                    channel.writeAndFlush(whole);
+                    ChannelFuture written = channel.writeAndFlush(whole);
+                    if (beyond) {
+                        written.addListener(ChannelFutureListener.CLOSE);
+                    }
                 }
                 case HALF -> {
                     DefaultHttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(answer.status()));
@@ -337,6 +353,9 @@
             if (answer.rejected()) {
                 response.headers().set("X-Rejected", "1");
             }
+            if (beyond) {
+                response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            }
         }
 
         /** Names request, attempt and version, so that a client can tell what it was served. */
--- a/src/main/java/hopglade/lab/sockets/SocketRun.java
+++ b/src/main/java/hopglade/lab/sockets/SocketRun.java
@@ -475,6 +475,7 @@
         hostileVerdict();
         outside.put("proxy.cpu_ms_per_request", 1000 * outside.getOrDefault("proxy.cpu_s", 0.0) / Math.max(1, stories.size()));
         outside.put("machines.connections_opened", (double) machines.connections());
+        outside.put("machines.connections_turned_away", (double) machines.turnedAway());
         return new Played(experiment, "sockets", plan, load, ledger, stories, levels, marks, seen).judged(outside);
     }
 
--- a/src/main/java/hopglade/lab/virtual/VirtualProxy.java
+++ b/src/main/java/hopglade/lab/virtual/VirtualProxy.java
@@ -117,6 +117,12 @@
         return router.level();
     }
 
+    /** Whether this attempt of a request is still out. */
+    boolean awaits(String id, int attempt) {
+        Call call = calls.get(id);
+        return call != null && call.out == attempt;
+    }
+
     /** Requests it owes an answer, for the invariants. */
     long owed() {
         return calls.values().stream().filter(c -> !c.over).count();
--- a/src/main/java/hopglade/lab/virtual/VirtualRun.java
+++ b/src/main/java/hopglade/lab/virtual/VirtualRun.java
@@ -35,11 +35,8 @@
 import hopglade.lab.world.World.Entry;
 import hopglade.lab.world.World.Health;
 import hopglade.proxy.PathKey;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.Comparator;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -79,13 +76,17 @@
     private final Strikes strikes;
     private final RandomGenerator random;
     private final List<VirtualProxy> proxies = new ArrayList<>();
+    /** What discovery has for each proxy, and what that has taken in, in this life or an earlier one. */
     private final List<Map<String, Entry>> lists = new ArrayList<>();
+    private final List<Map<String, Entry>> known = new ArrayList<>();
+    private final boolean[] hasList;
+    private final double[] noListBefore;
+    private double discoveryFreeAt;
     private final Front front;
     private final Map<Long, Out> out = new HashMap<>();
     /** The attempt that is out for a try; a try goes to one proxy, and that has one attempt out at a time. */
     private final Map<String, Out> byTry = new HashMap<>();
-    /** When each idle connection was used last, for a machine's name, by proxy. */
-    private final Map<String, List<Deque<Double>>> idle = new HashMap<>();
+    private final VirtualPool pool;
     private final Map<String, Integer> zones;
     private final Map<String, Double> resetShare = new HashMap<>();
     private final Map<String, Double> silentUntil = new HashMap<>();
@@ -98,7 +99,6 @@
     private final Story[] stories;
     private final VirtualPeers peers;
     private long attempts;
-    private int connections;
     private int lives;
     private long largestTable;
 
@@ -110,15 +110,17 @@
         final String node;
         final Attempt attempt;
         final double delayMs;
+        final VirtualPool.Link link;
         boolean over;
 
-        Out(VirtualProxy proxy, String request, int number, String node, Attempt attempt, double delayMs) {
+        Out(VirtualProxy proxy, String request, int number, String node, Attempt attempt, double delayMs, VirtualPool.Link link) {
             this.proxy = proxy;
             this.request = request;
             this.number = number;
             this.node = node;
             this.attempt = attempt;
             this.delayMs = delayMs;
+            this.link = link;
         }
     }
 
@@ -137,7 +139,10 @@
                 Draw.generator(experiment.seed(), Draw.Stream.WORLD));
         this.strikes = new Strikes(world, acts, plan, ledger);
         this.random = Draw.generator(experiment.seed(), Draw.Stream.CLIENTS);
+        this.pool = new VirtualPool(agenda, plan, IDLE_MS, CONNECT_MS, Draw.generator(experiment.seed(), Draw.Stream.POOLS));
         this.front = new Front(plan.proxyZones());
+        this.hasList = new boolean[experiment.proxies().count()];
+        this.noListBefore = new double[experiment.proxies().count()];
         this.cutUntil = new double[plan.zones().size()];
         this.blindUntil = new double[experiment.proxies().count()];
         this.levels = new int[(int) Math.ceil(experiment.durationS())];
@@ -154,13 +159,14 @@
 
         @Override
         public void list(int proxy, long version, List<Entry> entries) {
-            Map<String, Entry> list = lists.get(proxy);
-            for (Entry e : entries) {
-                Entry before = list.put(e.id(), e);
-                if (before == null || before.health() != e.health() || before.startedAt() != e.startedAt()) {
-                    ledger.told(new Ledger.Told(proxy, e.id(), e.health(), e.startedAt(), agenda.now()));
-                }
+            entries.forEach(e -> lists.get(proxy).put(e.id(), e));
+            if (hasList[proxy]) {
+                entries.forEach(e -> told(proxy, e));
+                tell(proxy, version, entries);
             }
+        }
+
+        private void tell(int proxy, long version, List<Entry> entries) {
             peers.listed(proxy, () -> serving(proxy));
             proxies.get(proxy).nodes(ListKind.CHANGES, version, entries.stream().map(VirtualRun.this::node).toList());
         }
@@ -173,7 +179,7 @@
                 drop(o);
                 agenda.in(o.delayMs, () -> end(o, Outcome.RESET, 0, 0));
             }
-            idle.remove(machine);
+            pool.died(machine);
         }
 
         @Override
@@ -192,8 +198,32 @@
         }
     }
 
+    private void told(int proxy, Entry e) {
+        Entry before = known.get(proxy).put(e.id(), e);
+        if (before == null || before.health() != e.health() || before.startedAt() != e.startedAt()) {
+            ledger.told(new Ledger.Told(proxy, e.id(), e.health(), e.startedAt(), agenda.now()));
+        }
+    }
+
+    /** What a proxy takes for the fleet, without those that it was told are gone. */
+    private List<Node> remembered(int proxy) {
+        return known.get(proxy).values().stream().filter(e -> e.health() != Health.REMOVED).map(this::node).toList();
+    }
+
+    /** A proxy that starts asks for the whole list; discovery hands those out one after the other. */
+    private void askForList(int index, VirtualProxy asking) {
+        discoveryFreeAt = Math.max(discoveryFreeAt, agenda.now()) + plan.roster().listMs();
+        agenda.at(Math.max(discoveryFreeAt, noListBefore[index]), () -> {
+            if (!asking.dead()) {
+                hasList[index] = true;
+                lists.get(index).values().forEach(e -> told(index, e));
+                asking.nodes(ListKind.FULL, world.version(), remembered(index));
+            }
+        });
+    }
+
     private List<Node> serving(int proxy) {
-        return lists.get(proxy).values().stream().filter(e -> e.health() == Health.UP && !e.id().equals(plan.origin().id())).map(this::node).toList();
+        return known.get(proxy).values().stream().filter(e -> e.health() == Health.UP && !e.id().equals(plan.origin().id())).map(this::node).toList();
     }
 
     private void mark(String what) {
@@ -208,9 +238,11 @@
         Oracle.fill(world, experiment, plan, ProxySettings.read(experiment, plan, 0, IDLE_MS, CONNECT_MS));
         for (int i = 0; i < plan.proxyZones().size(); i++) {
             lists.add(new TreeMap<>());
+            known.add(new TreeMap<>());
+            hasList[i] = true;
             for (Entry e : world.truth()) {
                 lists.get(i).put(e.id(), e);
-                ledger.told(new Ledger.Told(i, e.id(), e.health(), e.startedAt(), 0));
+                told(i, e);
             }
             proxies.add(born(i));
             proxies.get(i).nodes(ListKind.FULL, world.version(), world.truth().stream().map(this::node).toList());
@@ -257,7 +289,7 @@
         long seed = experiment.seed() * 31 + index * 7919L + lives++;
         VirtualProxy proxy = new VirtualProxy(index, agenda, settings, maker.make(settings, seed), new Wires());
         peers.born(proxy, lives, () -> serving(index));
-        proxy.start(lists.get(index).values().stream().filter(e -> e.health() != Health.REMOVED).map(this::node).toList());
+        proxy.start(remembered(index));
         return proxy;
     }
 
@@ -324,14 +356,6 @@
         return zones.get(machine);
     }
 
-    private Deque<Double> idle(VirtualProxy proxy, String machine) {
-        List<Deque<Double>> ofMachine = idle.computeIfAbsent(machine, m -> new ArrayList<>(Collections.nCopies(proxies.size(), null)));
-        if (ofMachine.get(proxy.index) == null) {
-            ofMachine.set(proxy.index, new ArrayDeque<>());
-        }
-        return ofMachine.get(proxy.index);
-    }
-
     private boolean silent(int proxy, String machine) {
         if (agenda.now() < blindUntil[proxy]) {
             return true;
@@ -346,28 +370,38 @@
         @Override
         public void send(VirtualProxy from, String request, int number, String node, double waitMs) {
             peers.sent(from, node);
+            pool.use(from.index, node, new VirtualPool.Exchange() {
+                @Override
+                public boolean wanted() {
+                    return from.awaits(request, number);
+                }
+
+                @Override
+                public void go(VirtualPool.Link link) {
+                    write(from, request, number, node, waitMs, link);
+                }
+
+                @Override
+                public void unconnected() {
+                    from.ended(request, number, Outcome.CONNECT_FAILED, 0, 0);
+                }
+            });
+        }
+
+        private void write(VirtualProxy from, String request, int number, String node, double waitMs, VirtualPool.Link link) {
             double delay = plan.delayMs(from.index, zone(node));
-            Deque<Double> kept = idle(from, node);
-            while (!kept.isEmpty() && kept.peekFirst() < agenda.now() - IDLE_MS) {
-                kept.removeFirst();
-            }
-            boolean open = !kept.isEmpty();
-            if (open) {
-                kept.removeLast();
-            }
             boolean silent = silent(from.index, node);
-            if (!open && silent) {
-                agenda.in(Math.min(CONNECT_MS, waitMs), () -> from.ended(request, number, Outcome.CONNECT_FAILED, 0, 0));
+            if (link.fresh && silent) {
+                lost(from, request, number, link, Outcome.CONNECT_FAILED, Math.min(CONNECT_MS, waitMs));
                 return;
             }
             if (!world.alive(node) && !silent) {
-                agenda.in(2 * delay, () -> from.ended(request, number, open ? Outcome.RESET : Outcome.CONNECT_FAILED, 0, 0));
+                lost(from, request, number, link, link.fresh ? Outcome.CONNECT_FAILED : Outcome.RESET, 2 * delay);
                 return;
             }
-            if (!open) {
-                connections++;
+            if (link.fresh) {
                 if (random.nextDouble() < resetShare.getOrDefault(node, 0.0)) {
-                    agenda.in(2 * delay, () -> from.ended(request, number, Outcome.CONNECT_FAILED, 0, 0));
+                    lost(from, request, number, link, Outcome.CONNECT_FAILED, 2 * delay);
                     return;
                 }
                 world.handshake(agenda.now(), node, acts);
@@ -381,20 +415,33 @@
                     silent ? 0 : world.weight(agenda.now(), node, job));
             attempt.atColdNode = !origin && world.cold(node, agenda.now());
             ledger.attempt(attempt);
-            Out o = new Out(from, request, number, node, attempt, delay);
+            Out o = new Out(from, request, number, node, attempt, delay, link);
             byTry.put(request, o);
             if (silent) {
                 // It never arrives, which its proxy cannot know.
                 return;
             }
             out.put(attempt.number, o);
-            agenda.in(open ? delay : 3 * delay, () -> {
-                if (out.get(attempt.number) == o && !silent(from.index, node)) {
+            agenda.in(link.fresh ? 3 * delay : delay, () -> {
+                if (out.get(attempt.number) != o || silent(from.index, node)) {
+                    return;
+                }
+                if (link.beyond) {
+                    answered(attempt.number, World.rejected());
+                } else {
                     world.request(agenda.now(), node, attempt.number, from.index, job, acts);
                 }
             });
         }
 
+        /** The attempt never reaches its machine. */
+        private void lost(VirtualProxy from, String request, int number, VirtualPool.Link link, Outcome outcome, double afterMs) {
+            agenda.in(afterMs, () -> {
+                pool.close(link);
+                from.ended(request, number, outcome, 0, 0);
+            });
+        }
+
         @Override
         public void probe(VirtualProxy from, String node) {
             boolean silent = silent(from.index, node);
@@ -414,6 +461,7 @@
             if (o != null && o.number == number) {
                 o.attempt.closedAt = agenda.now();
                 o.over = true;
+                pool.close(o.link);
                 byTry.remove(request);
                 world.abandoned(request);
             }
@@ -427,6 +475,8 @@
     private void end(Out o, Outcome outcome, int note, long made) {
         if (!o.over) {
             o.over = true;
+            // Nothing but a whole answer leaves it of use, and that has freed it.
+            pool.close(o.link);
             byTry.remove(o.request, o);
             o.attempt.closedAt = Math.min(o.attempt.closedAt, outcome == Outcome.RESET || outcome == Outcome.ERROR ? agenda.now() : Double.POSITIVE_INFINITY);
             o.proxy.ended(o.request, o.number, outcome, note, made);
@@ -446,7 +496,7 @@
                 return;
             }
             Outcome outcome = switch (answer.manner()) {
-                case WHOLE -> answer.rejected() ? Outcome.REJECTED : answer.status() == NOT_FOUND ? Outcome.MISS
+                case WHOLE -> o.link.beyond ? Outcome.CONNECT_FAILED : answer.rejected() ? Outcome.REJECTED : answer.status() == NOT_FOUND ? Outcome.MISS
                         : answer.status() == OK ? Outcome.OK : Outcome.ERROR;
                 case HALF, RESET_AFTER -> Outcome.RESET;
                 case SPOILT -> Outcome.ERROR;
@@ -457,7 +507,11 @@
             }
             if (answer.manner() == World.Manner.WHOLE) {
                 o.attempt.answeredAt = agenda.now();
-                idle(o.proxy, o.node).addLast(agenda.now());
+                if (o.link.beyond) {
+                    pool.turnedAway(o.link);
+                } else {
+                    pool.free(o.link);
+                }
             } else {
                 o.attempt.closedAt = agenda.now();
             }
@@ -490,7 +544,10 @@
                 resetShare.put(id, fault.share());
                 agenda.at(fault.endMs(), () -> resetShare.remove(id));
             });
-            case DISCOVERY_SILENT -> each(fault, i -> world.holdNews(i, fault.endMs()));
+            case DISCOVERY_SILENT -> each(fault, i -> {
+                world.holdNews(i, fault.endMs());
+                noListBefore[i] = Math.max(noListBefore[i], fault.endMs());
+            });
             case PROXY_KILL -> each(fault, i -> kill(i, fault));
             case PROXY_TERM -> each(fault, i -> {
                 agenda.in(FRONT_MS, () -> front.inService(i, false));
@@ -540,6 +597,8 @@
             ledger.excuse(new Ledger.Excuse(index, agenda.now(), agenda.now(), "it ended"));
         }
         old.die();
+        hasList[index] = false;
+        pool.ended(index);
         peers.died(index);
         agenda.in(experiment.proxies().noticeS() * MS_PER_S, () -> {
             if (proxies.get(index).dead()) {
@@ -548,8 +607,7 @@
         });
         agenda.in(fault.forS() * MS_PER_S + START_MS, () -> {
             proxies.set(index, born(index));
-            proxies.get(index).nodes(ListKind.FULL, world.version(),
-                    lists.get(index).values().stream().filter(e -> e.health() != Health.REMOVED).map(this::node).toList());
+            askForList(index, proxies.get(index));
             front.inService(index, true);
             mark("proxy-" + index + " is ready again");
         });
@@ -567,7 +625,8 @@
                 "proxy.entries_left", alive.stream().mapToDouble(VirtualProxy::entries).max().orElse(0),
                 "proxy.backstops", proxies.stream().mapToDouble(VirtualProxy::backstops).sum(),
                 "proxy.timers_left", alive.stream().mapToDouble(VirtualProxy::timers).max().orElse(0),
-                "machines.connections_opened", (double) connections));
+                "machines.connections_opened", (double) pool.opened(),
+                "machines.connections_turned_away", (double) pool.turnedAway()));
         own.putAll(peers.figures(alive, ledger));
         return new Played(experiment, "virtual", plan, load, ledger, told, levels, marks, seen).judged(own);
     }
--- a/src/main/java/hopglade/lab/world/Installation.java
+++ b/src/main/java/hopglade/lab/world/Installation.java
@@ -3,19 +3,21 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 
 /**
  * One installation as it was drawn: every figure is fixed here and told to no proxy. Times are in milliseconds.
  *
  * @param zones         names of the zones
  * @param linkMs        one-way delay between two zones, by their places in {@code zones}
- * @param nodes         the cache nodes
+ * @param nodes         the cache nodes that run when the day begins
+ * @param spares        cache nodes that a fault may start in the place of others
  * @param origin        the central database
  * @param proxyZones    each proxy's zone, by its number
  * @param roster        how late news of the list comes
  * @param storing       objects and copies
  */
-public record Installation(List<String> zones, double[][] linkMs, List<NodeMake> nodes, OriginMake origin,
+public record Installation(List<String> zones, double[][] linkMs, List<NodeMake> nodes, List<NodeMake> spares, OriginMake origin,
                            List<Integer> proxyZones, Roster roster, Storing storing) {
 
     /**
@@ -33,16 +35,24 @@
     public record OriginMake(String id, int zone, Machine.Make machine, double fetchShare, double writeTimes,
                              double fallMultiple, double fallMs, double[] downMs, double handshakeMs, int connections) { }
 
-    /** News of the list reaches a proxy after a delay from {@code delayMs}; weights are renewed at spans from {@code weightMs}. */
-    public record Roster(double[] delayMs, double[] weightMs) { }
+    /**
+     * News of the list reaches a proxy after a delay from {@code delayMs}; weights are renewed at spans from {@code weightMs}.
+     * A whole list, for a proxy that starts, takes discovery {@code listMs}, one after the other.
+     */
+    public record Roster(double[] delayMs, double[] weightMs, double listMs) { }
 
     /** Objects: how many keys there are, the bytes of one (least and most), and for how long a copy is kept. */
     public record Storing(long keys, double[] bytes, double ttlMs) { }
 
+    /** Every cache node that may ever run. */
+    public List<NodeMake> machines() {
+        return Stream.concat(nodes.stream(), spares.stream()).toList();
+    }
+
     /** The zone of each node and of the origin, by its name. */
     public Map<String, Integer> machineZones() {
         Map<String, Integer> zoneOf = new HashMap<>();
-        nodes.forEach(n -> zoneOf.put(n.id(), n.zone()));
+        machines().forEach(n -> zoneOf.put(n.id(), n.zone()));
         zoneOf.put(origin.id(), origin.zone());
         return zoneOf;
     }
--- a/src/main/java/hopglade/lab/world/Strikes.java
+++ b/src/main/java/hopglade/lab/world/Strikes.java
@@ -24,7 +24,11 @@
 
     /** The nodes that a fault strikes. */
     public List<String> targets(Fault fault) {
-        if (fault.target().equals(plan.origin().id())) {
+        int zone = plan.zones().indexOf(fault.target());
+        if (zone >= 0) {
+            return plan.nodes().stream().filter(n -> n.zone() == zone).map(Installation.NodeMake::id).toList();
+        }
+        if (fault.what() == Fault.Kind.NODE_START || fault.target().equals(plan.origin().id())) {
             return List.of(fault.target());
         }
         List<String> ids = plan.nodes().stream().map(Installation.NodeMake::id).toList();
@@ -35,6 +39,7 @@
     public boolean begin(Fault fault, double now) {
         switch (fault.what()) {
             case NODE_KILL, NODE_RESTART -> targets(fault).forEach(id -> world.kill(now, id, effects));
+            case NODE_START -> startCold(fault.target(), now);
             case NODE_DRAIN -> targets(fault).forEach(id -> {
                 world.drain(now, id, effects);
                 ledger.changed(id, World.Health.DRAINING, -1, now);
@@ -71,7 +76,7 @@
 
     private void startCold(String id, double now) {
         world.start(now, id, effects);
-        plan.nodes().stream().filter(n -> n.id().equals(id)).forEach(n -> ledger.started(new Ledger.Started(id, now,
+        plan.machines().stream().filter(n -> n.id().equals(id)).forEach(n -> ledger.started(new Ledger.Started(id, now,
                 n.machine().coldMs(), world.capacity(id, now), n.machine().cores() * n.machine().speed())));
     }
 }
--- a/src/main/java/hopglade/lab/world/World.java
+++ b/src/main/java/hopglade/lab/world/World.java
@@ -155,9 +155,13 @@
         this.plan = plan;
         this.limits = limits;
         this.random = random;
-        for (NodeMake node : plan.nodes()) {
+        for (NodeMake node : plan.machines()) {
             units.put(node.id(), new Unit(node.id(), node.kind(), node.zone(), node.machine(), node, 0));
         }
+        for (NodeMake spare : plan.spares()) {
+            units.get(spare.id()).alive = false;
+            units.get(spare.id()).health = Health.REMOVED;
+        }
         OriginMake o = plan.origin();
         units.put(o.id(), new Unit(o.id(), ORIGIN_KIND, o.zone(), o.machine(), null, 0));
         plan.proxyZones().forEach(z -> news.add(new ArrayDeque<>()));
@@ -325,7 +329,8 @@
         return job.write() || unit.store.get(job.key(), now) == null ? unit.node.missWorkMs() : job.workMs();
     }
 
-    private static Answer rejected() {
+    /** The answer of a machine that turns a request or its connection away. */
+    public static Answer rejected() {
         return new Answer(503, "", true, Manner.WHOLE, 0, 0, false);
     }
 
--- a/src/main/java/hopglade/proxy/NodePool.java
+++ b/src/main/java/hopglade/proxy/NodePool.java
@@ -61,17 +61,6 @@
      */
     private static final double STALL_PART = 0.25;
     private static final double STALL_MOST_MS = 200;
-    /**
-     * How long no further connection is opened after a node has turned one away: at first and, doubling with each one
-     * turned away, at most. Spread at random, as every proxy meets the same full table.
-     */
-    private static final double FULL_FIRST_MS = 50;
-    private static final double FULL_MOST_MS = 1000;
-    /**
-     * A connection beyond the first to a node closes after so long without a use. Nodes hold only so many, and what the
-     * proxies keep for their own next burst is missing for another's present one; opening one costs a handshake.
-     */
-    private static final double SPARE_MS = 250;
     private static final byte[] START = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
 
     /** Takes how an exchange ended; {@code response} is null where no whole answer came and is released afterwards. */
@@ -197,7 +186,7 @@
         Connection idle = newestIdle(target);
         if (idle != null) {
             idle.write(exchange);
-        } else if (target.isFull(nanos.getAsLong())) {
+        } else if (target.table.pausing(nanos.getAsLong())) {
             waitFor(target, exchange);
         } else if (connections < maxConnections || closeOldestIdle()) {
             connect(target, exchange);
@@ -222,7 +211,7 @@
     private void openLater(Target target) {
         if (!target.opening && !target.waiting.isEmpty()) {
             target.opening = true;
-            long pause = Math.max(TimeUnit.MILLISECONDS.toNanos(REST_MS), target.fullUntil - nanos.getAsLong());
+            long pause = Math.max(TimeUnit.MILLISECONDS.toNanos(REST_MS), target.table.leftNanos(nanos.getAsLong()));
             loop.schedule(() -> open(target), pause, TimeUnit.NANOSECONDS);
         }
     }
@@ -230,7 +219,7 @@
     /** Tries one more connection for the exchange that has waited longest. */
     private void open(Target target) {
         target.opening = false;
-        if (!target.isFull(nanos.getAsLong()) && (connections < maxConnections || closeOldestIdle())) {
+        if (!target.table.pausing(nanos.getAsLong()) && (connections < maxConnections || closeOldestIdle())) {
             Exchange first = target.nextWaiting();
             if (first != null) {
                 connect(target, first);
@@ -256,7 +245,7 @@
     private void watchIdle() {
         if (!idleWatched && idleMs < Long.MAX_VALUE / 1e6) {
             idleWatched = true;
-            loop.schedule(this::closeAged, (long) (Math.min(idleMs / IDLE_SWEEPS, SPARE_MS) * 1e6), TimeUnit.NANOSECONDS);
+            loop.schedule(this::closeAged, (long) (Math.min(idleMs / IDLE_SWEEPS, FullTable.SPARE_MS) * 1e6), TimeUnit.NANOSECONDS);
         }
     }
 
@@ -267,7 +256,8 @@
         for (Target target : targets.values()) {
             int spare = target.connections - 1;
             for (Connection c = target.idle.peekLast();
-                    c != null && c.idleMs(now) >= (spare > 0 ? Math.min(limit, SPARE_MS) : limit); c = target.idle.peekLast()) {
+                    c != null && c.idleMs(now) >= (spare > 0 ? Math.min(limit, FullTable.SPARE_MS) : limit);
+                    c = target.idle.peekLast()) {
                 spare--;
                 target.idle.removeLast();
                 c.context.close();
@@ -334,9 +324,7 @@
         boolean current = true;
         final Deque<Exchange> waiting = new ArrayDeque<>();
         int connections;
-        private double fullMs = FULL_FIRST_MS;
-        private long fullUntil;
-        private boolean turnedAway;
+        final FullTable table = new FullTable();
         private boolean opening;
 
         Target(SocketAddress dial, double bornMs) {
@@ -344,22 +332,6 @@
             this.bornMs = bornMs;
         }
 
-        /** Whether the node turned a new connection away so lately that another is not worth its handshake. */
-        boolean isFull(long now) {
-            return turnedAway && now - fullUntil < 0;
-        }
-
-        void turnedAway(long now, double draw) {
-            turnedAway = true;
-            fullUntil = now + (long) (fullMs * (0.5 + draw) * 1e6);
-            fullMs = Math.min(FULL_MOST_MS, 2 * fullMs);
-        }
-
-        void tookOne() {
-            turnedAway = false;
-            fullMs = FULL_FIRST_MS;
-        }
-
         Exchange nextWaiting() {
             Exchange next = waiting.pollFirst();
             while (next != null && next.over) {
@@ -465,7 +437,7 @@
 
         Connection(Target target) {
             this.target = target;
-            this.tried = target.turnedAway;
+            this.tried = target.table.met();
         }
 
         @Override
@@ -558,9 +530,9 @@
             if (!answered && outcome == Outcome.REJECTED && !HttpUtil.isKeepAlive(response)) {
                 // A new connection that is closed again unheard: the node's table is full, whatever its cores do.
                 outcome = Outcome.CONNECT_FAILED;
-                target.turnedAway(nanos.getAsLong(), random.nextDouble());
+                target.table.turnedAway(nanos.getAsLong(), random.nextDouble());
             } else if (!answered && tried) {
-                target.tookOne();
+                target.table.tookOne();
             }
             answered = true;
             try {
