--- /dev/null
+++ b/src/main/java/hopglade/lab/virtual/HashIdentity.java
@@ -0,0 +1,50 @@
+package hopglade.lab.virtual;
+
+import hopglade.membership.Identity;
+import java.util.Arrays;
+import java.util.Set;
+
+/**
+ * Signs by a hash that depends on the name, where signatures must differ and cost nothing. Anybody could forge it.
+ *
+ * @param strangers names without a key in the ring
+ */
+public record HashIdentity(String name, Set<String> strangers) implements Identity {
+
+    private static final int KEY_ID = 7;
+
+    @Override
+    public int keyId() {
+        return KEY_ID;
+    }
+
+    private static byte[] signature(String by, byte[] data, int length) {
+        byte[] signature = new byte[SIGNATURE_BYTES];
+        long hash = by.hashCode();
+        for (int i = 0; i < length; i++) {
+            hash = (hash ^ data[i]) * 0x100000001b3L;
+            signature[i % SIGNATURE_BYTES] ^= (byte) (hash >>> 32);
+        }
+        return signature;
+    }
+
+    @Override
+    public byte[] sign(byte[] data, int length) {
+        return signature(name, data, length);
+    }
+
+    @Override
+    public boolean knows(String other, int keyId) {
+        return !strangers.contains(other);
+    }
+
+    @Override
+    public boolean verify(String by, int keyId, byte[] data, int length, byte[] signature) {
+        return Arrays.equals(signature, signature(by, data, length));
+    }
+
+    @Override
+    public boolean verify(String by, byte[] data, byte[] signature) {
+        return verify(by, KEY_ID, data, data.length, signature);
+    }
+}
--- a/src/main/java/hopglade/lab/virtual/VirtualPeers.java
+++ b/src/main/java/hopglade/lab/virtual/VirtualPeers.java
@@ -12,14 +12,13 @@
 import hopglade.lab.world.Installation;
 import hopglade.membership.Gossip;
 import hopglade.membership.Gossip.What;
-import hopglade.membership.Identity;
 import hopglade.membership.Member;
-import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
@@ -52,7 +51,7 @@
                 seeds.add(address(i));
             }
             gossip = new Gossip(new Gossip.Settings(address(proxy.index), seeds, experiment.gossip().bytesPerS(), VERIFICATIONS_PER_S),
-                    new Named("proxy-" + proxy.index), experiment.seed() * 131 + proxy.index * 7919L + life);
+                    new HashIdentity("proxy-" + proxy.index, Set.of()), experiment.seed() * 131 + proxy.index * 7919L + life);
         }
 
         void tick() {
@@ -94,43 +93,6 @@
         }
     }
 
-    /** Signs by a hash that depends on the name: as long as a true signature, and forged by nobody here. */
-    private record Named(String name) implements Identity {
-
-        @Override
-        public int keyId() {
-            return 1;
-        }
-
-        @Override
-        public byte[] sign(byte[] data, int length) {
-            return signature(name, data, length);
-        }
-
-        private static byte[] signature(String by, byte[] data, int length) {
-            long hash = by.hashCode();
-            for (int i = 0; i < length; i++) {
-                hash = (hash ^ data[i]) * 0x100000001b3L;
-            }
-            return ByteBuffer.allocate(SIGNATURE_BYTES).putLong(hash).array();
-        }
-
-        @Override
-        public boolean knows(String other, int keyId) {
-            return true;
-        }
-
-        @Override
-        public boolean verify(String by, int keyId, byte[] data, int length, byte[] signature) {
-            return Arrays.equals(signature, signature(by, data, length));
-        }
-
-        @Override
-        public boolean verify(String by, byte[] data, byte[] signature) {
-            return verify(by, 1, data, data.length, signature);
-        }
-    }
-
     private final Experiment experiment;
     private final Installation plan;
     private final Agenda agenda;
--- a/src/test/java/hopglade/membership/Town.java
+++ b/src/test/java/hopglade/membership/Town.java
@@ -3,9 +3,9 @@
 import hopglade.Router.Availability;
 import hopglade.Router.Node;
 import hopglade.Router.Outcome;
+import hopglade.lab.virtual.HashIdentity;
 import hopglade.membership.Gossip.What;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
 import java.util.PriorityQueue;
@@ -31,45 +31,6 @@
         }
     }
 
-    /** Signs by a hash that depends on the name; a name among the strangers has no key in the ring. */
-    record Signer(String name, Set<String> strangers) implements Identity {
-
-        @Override
-        public int keyId() {
-            return 7;
-        }
-
-        private byte[] signature(String by, byte[] data, int length) {
-            byte[] signature = new byte[SIGNATURE_BYTES];
-            long hash = by.hashCode();
-            for (int i = 0; i < length; i++) {
-                hash = (hash ^ data[i]) * 0x100000001b3L;
-                signature[i % SIGNATURE_BYTES] ^= (byte) (hash >>> 32);
-            }
-            return signature;
-        }
-
-        @Override
-        public byte[] sign(byte[] data, int length) {
-            return signature(name, data, length);
-        }
-
-        @Override
-        public boolean knows(String other, int keyId) {
-            return !strangers.contains(other);
-        }
-
-        @Override
-        public boolean verify(String by, int keyId, byte[] data, int length, byte[] signature) {
-            return Arrays.equals(signature, signature(by, data, length));
-        }
-
-        @Override
-        public boolean verify(String by, byte[] data, byte[] signature) {
-            return verify(by, 7, data, data.length, signature);
-        }
-    }
-
     final class Proxy implements Gossip.Actions {
         final String name;
         final String address;
@@ -84,7 +45,7 @@
             this.address = address;
             this.ahead = ahead;
             this.pace = pace;
-            gossip = new Gossip(new Gossip.Settings(address, List.of(seed), BYTES_PER_S, 400), new Signer(name, strangers), random.nextLong());
+            gossip = new Gossip(new Gossip.Settings(address, List.of(seed), BYTES_PER_S, 400), new HashIdentity(name, strangers), random.nextLong());
             gossip.nodes(clock(), nodes, this);
             gossip.start(clock(), this);
             tick();
