--- a/src/main/java/hopglade/lab/Draw.java
+++ b/src/main/java/hopglade/lab/Draw.java
@@ -44,7 +44,7 @@
         List<NodeMake> nodes = new ArrayList<>();
         for (int i = 0; i < fleet.nodes() + fleet.spares(); i++) {
             Experiment.Kind kind = kind(fleet.kinds(), random.nextDouble());
-            nodes.add(new NodeMake("node-" + i, kind.name(), i % zones, machine(kind, random), memory, fleet.missWorkMs(),
+            nodes.add(new NodeMake("node-" + i, kind.name(), fleet.zone(i), machine(kind, random), memory, fleet.missWorkMs(),
                     fleet.handshakeMs(), fleet.connections(), fleet.errorShare()));
         }
         Experiment.Origin o = e.origin();
@@ -55,7 +55,8 @@
         for (int i = 0; i < e.proxies().count(); i++) {
             proxyZones.add(i % zones);
         }
-        return new Installation(fleet.zones(), links, nodes.subList(0, fleet.nodes()), nodes.subList(fleet.nodes(), nodes.size()), origin, proxyZones,
+        return new Installation(fleet.zones(), links, nodes.subList(0, fleet.nodes()), nodes.subList(fleet.nodes(), nodes.size()),
+                origin, proxyZones,
                 new Installation.Roster(ms(e.discovery().delayS()), ms(e.discovery().weightS()), S / e.discovery().listsPerS()),
                 new Installation.Storing(fleet.keys(), fleet.bytes(), fleet.ttlS() * S));
     }
--- a/src/main/java/hopglade/lab/Experiment.java
+++ b/src/main/java/hopglade/lab/Experiment.java
@@ -14,7 +14,13 @@
     /** Cache nodes, those that may take another's place, their zones and the links between them. */
     public record Fleet(int nodes, int spares, List<String> zones, double[] linkMs, double localMs, List<Kind> kinds, double missWorkMs,
                         double handshakeMs, int connections, double errorShare, double ttlS, long keys, double[] bytes,
-                        double kept) { }
+                        double kept) {
+
+        /** The place among the zones of a node or spare, by its number: they are dealt out in turn. */
+        public int zone(int node) {
+            return node % zones.size();
+        }
+    }
 
     /** A kind of machine and its share of the nodes. */
     public record Kind(String name, double share, int cores, double[] speed, int slots, int room, double[] coldFrom,
--- a/src/main/java/hopglade/lab/ExperimentFile.java
+++ b/src/main/java/hopglade/lab/ExperimentFile.java
@@ -118,7 +118,8 @@
         int cores = t.whole("cores", 4, 1, 4096);
         Experiment.Origin origin = new Experiment.Origin(cores, t.number("speed", 1, 0.01, 100),
                 t.whole("slots", Math.max(64, SLOTS_A_CORE * cores), 1, 100_000), t.whole("room", Math.max(200, ROOM_A_CORE * cores), 0, 1_000_000),
-                t.whole("connections", connections, 1, 100_000), t.number("fetch_share", 0.6, 0.01, 100), t.number("write_times", 1.5, 0.1, 100), t.number("fall_multiple", 2.5, 0, 1000),
+                t.whole("connections", connections, 1, 100_000),
+                t.number("fetch_share", 0.6, 0.01, 100), t.number("write_times", 1.5, 0.1, 100), t.number("fall_multiple", 2.5, 0, 1000),
                 t.number("fall_s", 3, 0.1, 600), t.range("down_s", new double[] {3, 6}, 0, 600));
         t.done();
         return origin;
@@ -225,19 +226,18 @@
 
     private static String spare(Toml.Table t, String key, Experiment.Fleet fleet) throws BadFileException {
         String found = t.text(key, "");
-        for (int i = 0; i < fleet.spares(); i++) {
-            if (found.equals("node-" + (fleet.nodes() + i))) {
-                return found;
-            }
+        int all = fleet.nodes() + fleet.spares();
+        if (!named(found, "node-", fleet.nodes(), all)) {
+            throw t.bad(key, '"' + found + '"', fleet.spares() == 0 ? "nothing, as fleet.spares is 0"
+                    : "node-" + fleet.nodes() + " to node-" + (all - 1));
         }
-        throw t.bad(key, '"' + found + '"', fleet.spares() == 0 ? "nothing, as fleet.spares is 0"
-                : "node-" + fleet.nodes() + " to node-" + (fleet.nodes() + fleet.spares() - 1));
+        return found;
     }
 
     /** Evenly over the fault's time, a spare starts and the node whose place it takes drains. */
     private static List<Fault> replacements(Toml.Table t, Fault all, Experiment.Fleet fleet) throws BadFileException {
         List<Integer> struck = IntStream.range(0, fleet.nodes())
-                .filter(i -> all.target().equals(fleet.zones().get(i % fleet.zones().size())) || all.strikes("node-", i, fleet.nodes())).boxed().toList();
+                .filter(i -> all.strikesNode(i, fleet.zones().get(fleet.zone(i)), fleet.nodes())).boxed().toList();
         if (struck.size() > fleet.spares()) {
             throw t.bad("node", all.label(), "at most fleet.spares nodes, which is " + fleet.spares());
         }
@@ -253,15 +253,16 @@
     private static String numbered(Toml.Table t, String key, String prefix, int count, boolean origin) throws BadFileException {
         String found = t.text(key, "");
         boolean good = found.equals("*") || PART.matcher(found).matches() || origin && found.equals("origin");
-        for (int i = 0; i < count && !good; i++) {
-            good = found.equals(prefix + i);
-        }
-        if (!good) {
+        if (!good && !named(found, prefix, 0, count)) {
             throw t.bad(key, '"' + found + '"', "*, 1% to 99%, " + (origin ? "origin, " : "") + prefix + "0 to " + prefix + (count - 1));
         }
         return found;
     }
 
+    private static boolean named(String found, String prefix, int from, int to) {
+        return IntStream.range(from, to).anyMatch(i -> found.equals(prefix + i));
+    }
+
     private static Experiment.Expect expect(Toml.Table t) throws BadFileException {
         String figure = t.text("figure", "");
         if (!FIGURE.matcher(figure).matches()) {
--- a/src/main/java/hopglade/lab/faults/Fault.java
+++ b/src/main/java/hopglade/lab/faults/Fault.java
@@ -135,6 +135,11 @@
         return target.equals("*") || target.equals(prefix + index);
     }
 
+    /** Whether it strikes the cache node of an index among {@code count} that stands in a zone; a zone's name strikes all of its own. */
+    public boolean strikesNode(int index, String zone, int count) {
+        return target.equals(zone) || strikes("node-", index, count);
+    }
+
     /** Whether a liar accuses at this time: one that flips does so in every second second. */
     public boolean accuses(double ms) {
         return what == Kind.LIAR_ACCUSES || what == Kind.LIAR_FLIPS && (long) (ms / 1000) % 2 == 0;
--- a/src/main/java/hopglade/lab/world/Strikes.java
+++ b/src/main/java/hopglade/lab/world/Strikes.java
@@ -24,15 +24,12 @@
 
     /** The nodes that a fault strikes. */
     public List<String> targets(Fault fault) {
-        int zone = plan.zones().indexOf(fault.target());
-        if (zone >= 0) {
-            return plan.nodes().stream().filter(n -> n.zone() == zone).map(Installation.NodeMake::id).toList();
-        }
         if (fault.what() == Fault.Kind.NODE_START || fault.target().equals(plan.origin().id())) {
             return List.of(fault.target());
         }
-        List<String> ids = plan.nodes().stream().map(Installation.NodeMake::id).toList();
-        return IntStream.range(0, ids.size()).filter(i -> fault.strikes("node-", i, ids.size())).mapToObj(ids::get).toList();
+        List<Installation.NodeMake> nodes = plan.nodes();
+        return IntStream.range(0, nodes.size()).filter(i -> fault.strikesNode(i, plan.zones().get(nodes.get(i).zone()), nodes.size()))
+                .mapToObj(i -> nodes.get(i).id()).toList();
     }
 
     /** Begins a fault; returns false where it is the driver's own. */
--- a/src/test/java/hopglade/lab/virtual/FleetDaysTest.java
+++ b/src/test/java/hopglade/lab/virtual/FleetDaysTest.java
@@ -1,5 +1,6 @@
 package hopglade.lab.virtual;
 
+import static hopglade.lab.virtual.VirtualTest.fault;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -36,10 +37,6 @@
             rate = %d
             """;
 
-    private static String fault(String what, double at, String more) {
-        return "[[fault]]\nwhat = \"" + what + "\"\nat_s = " + at + "\n" + more.replace(';', '\n') + "\n";
-    }
-
     private static Map<String, Double> kept(Results results) {
         assertEquals(List.of(), results.violations());
         return results.figures();
--- a/src/test/java/hopglade/lab/virtual/VirtualTest.java
+++ b/src/test/java/hopglade/lab/virtual/VirtualTest.java
@@ -27,7 +27,7 @@
             %s
             """;
 
-    private static String fault(String what, double at, String more) {
+    static String fault(String what, double at, String more) {
         return "[[fault]]\nwhat = \"" + what + "\"\nat_s = " + at + "\n" + more.replace(';', '\n') + "\n";
     }
 
