Take a cache node out and put it back by the operators' word, apart from discovery's

Need: operators restart cache nodes while discovery knows nothing of it. The module had no way to be told.

The module keeps the operators' outages apart from what discovery says (hopglade.maintenance.Outages): a node is a choice only if discovery lists it and no outage holds it, and that one test, where the list of choices is made, covers first tries, repeats, probes and held reads. What waits for a connection to the node ends as never sent, and goes elsewhere. Ids that a list ever named are remembered, 4,096 at most. Rejected: to send the module a list with the node marked as draining. The next list of discovery would put it back, and a proxy that mixes two sources can't tell which of them has ended.

Rates, hashes, the memory of the latest keys and sample statistics decide nothing; they are now hopglade.measure, unchanged.

--- a/src/main/java/hopglade/Decide.java
+++ b/src/main/java/hopglade/Decide.java
@@ -1,5 +1,15 @@
 package hopglade;
 
+import static hopglade.measure.Hash.hashText;
+import static hopglade.measure.Hash.mix;
+import static hopglade.measure.Hash.unit;
+import static hopglade.measure.Samples.beyondChance;
+import static hopglade.measure.Samples.median;
+
+import hopglade.maintenance.Outages;
+import hopglade.measure.Meter;
+import hopglade.measure.RecentKeys;
+import hopglade.measure.Spread;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -9,6 +19,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.stream.Collectors;
 
 /**
  * Every decision of hopglade; its events, actions and types stand in Router.java beside this file.
@@ -156,6 +167,11 @@
     static final double UNSEEN = 0.25;
     /** Pairs a hot key is given, for each node's worth of our requests that ask for it. */
     static final double HOT_SPREAD = 2;
+    /**
+     * How long a node that came back from an outage waits for a key of its own. Then it gets the next read,
+     * whatever its key: a balancer that sees little would leave it idle for long. Costs one miss.
+     */
+    static final double BACK_IN_USE_MS = 2000;
 
     private final Settings settings;
     private final SplittableRandom random;
@@ -177,15 +193,16 @@
     private long[] hashes = {};
     private double[] mostShares = {};
     private NodeView origin;
+    private final Outages outages = new Outages();
+    /** Nodes whose outage has ended and that nothing was sent to since. */
+    private final Map<NodeView, Double> returned = new LinkedHashMap<>();
     private List<Held> room = new ArrayList<>();
     private double intervalEnd;
     private double meanWorth;
     private double meanWork;
     /** Running mean of 1 / aim over requests: the usual aim is harmonic, as short aims suffer first. */
     private double urgency;
-    private int[] lately;
-    /** How often each key stands among {@link #lately}. */
-    private final Map<Integer, Integer> oftenLately = new HashMap<>();
+    private final RecentKeys lately;
     private final boolean peers;
     /**
      * Whether a connection from each balancer would cost a node more than opening one for each request: gaps
@@ -209,8 +226,6 @@
     private double usualErrors;
     private double lost, fetchMs;
     private boolean subscribed;
-    /** Keys taken in so far: a busy balancer hears more of them in its life than an int can count. */
-    private long seen;
     private int refusedCalls;
 
     public Decide(Settings settings, long seed) {
@@ -220,7 +235,7 @@
         this.closesIdle = c.heldPrice() * settings.proxies() > c.openingPrice() * PRICED_TABLE;
         this.peers = settings.limits().peers() && settings.proxies() > 1;
         this.news = ByteBuffer.allocate((peers ? KEYS_TOLD : 1) * Integer.BYTES);
-        this.lately = new int[peers ? LATELY_TOLD : LATELY];
+        this.lately = new RecentKeys(peers ? LATELY_TOLD : LATELY);
         this.hasOrigin = settings.originModel() != null;
         this.guardMs = 2 * settings.tickMs();
         this.shortestAim = settings.classes().stream().mapToDouble(ServiceClass::aimMs).min().orElse(1);
@@ -256,11 +271,34 @@
             nodes.values().forEach(n -> n.listed = false);
         }
         for (Node entry : entries) {
-            nodes.computeIfAbsent(entry.id(), id -> new NodeView(entry)).learn(entry);
+            NodeView n = nodes.computeIfAbsent(entry.id(), id -> new NodeView(entry));
+            n.learn(entry);
+            if (!n.isOrigin()) {
+                outages.listed(entry.id());
+            }
         }
         relist();
     }
 
+    @Override
+    public boolean maintain(double now, String node, boolean begins, Actions out) {
+        if (!outages.knows(node)) {
+            return false;
+        }
+        NodeView n = nodes.get(node);
+        if (begins) {
+            outages.begin(now, node);
+            out.close(node);
+        } else {
+            Double since = outages.end(node);
+            if (since != null && n != null) {
+                n.back(now, since);
+            }
+        }
+        relist();
+        return true;
+    }
+
     @Override
     public void request(double now, Request in, Actions out) {
         Held r = new Held(in, classes.getOrDefault(in.service(), unknown), now, guardMs);
@@ -315,7 +353,7 @@
             if (!fetched && answered) {
                 // An error too is an answer: a node that spoils some of its own is no fleet that is overrun.
                 cacheAnswers.add(now, 1);
-            } else if (!fetched && (broke(end.outcome()) || end.outcome() == Outcome.NEVER_SENT)) {
+            } else if (!fetched && (end.outcome().broke() || end.outcome() == Outcome.NEVER_SENT)) {
                 cacheSends.add(now, -1);
             }
         }
@@ -323,10 +361,10 @@
             double aim = r == null ? INTERVAL_MS : r.service.aimMs();
             boolean untold = end.outcome() == Outcome.CANCELLED || end.outcome() == Outcome.NEVER_SENT
                     || turnedAway(end) || r != null && r.overdue;
-            if (!untold && broke(end.outcome())) {
-                control.countBroken();
+            if (!untold && end.outcome().broke()) {
+                control.broken++;
             } else if (!untold && end.outcome() == Outcome.ERROR) {
-                control.countSpoilt();
+                control.spoilt++;
             } else if (!untold) {
                 control.count(end.outcome() == Outcome.OK && end.elapsedMs() <= aim);
             }
@@ -425,7 +463,7 @@
     private void moveOn(double now, NodeView n, Actions out) {
         for (Held r : settings.limits().cancel() ? requests.values() : List.<Held>of()) {
             boolean waits = r.out && r.at == n && !r.streaming && !r.heavy;
-            boolean late = now - r.sentAt > n.usualMs + DEVIATIONS * n.deviationMs;
+            boolean late = now - r.sentAt > n.usual.latest(DEVIATIONS);
             if (waits && late && r.service.effect() == Effect.SAFE) {
                 out.cancel(r.in.id(), r.attempts - 1);
             }
@@ -433,8 +471,8 @@
     }
 
     private void probe(NodeView n, Actions out) {
-        boolean asks = n.listed && (n.doubted || n.failsProbes) && settings.limits().probes();
-        if (asks && !n.probing) {
+        boolean asks = caches.contains(n) && (n.doubted || n.failsProbes);
+        if (asks && settings.limits().probes() && !n.probing) {
             n.probing = true;
             out.probe(n.entry.id());
         }
@@ -442,14 +480,14 @@
 
     @Override
     public void peerMessage(double now, int from, byte[] contents, Actions out) {
-        learn(ByteBuffer.wrap(contents));
+        lately.addAll(ByteBuffer.wrap(contents));
     }
 
     @Override
     public String state() {
-        String fetches = control.level == 0 ? "not throttled" : String.format(Locale.ROOT,
-                "throttled at level %d to %.1f fetches/s", control.level, control.rate());
-        return goOn >= 1 ? fetches : fetches + String.format(Locale.ROOT, ", %.0f%% go on", 100 * goOn);
+        return (control.level == 0 ? "not throttled" : String.format(Locale.ROOT,
+                "throttled at level %d to %.1f fetches/s", control.level, control.rate()))
+                + (goOn >= 1 ? "" : String.format(Locale.ROOT, ", %.0f%% go on", 100 * goOn));
     }
 
     @Override
@@ -462,19 +500,6 @@
         return requests.size() + fetching.size() + room.size();
     }
 
-    /** Takes in told keys; a message that is no whole number of keys loses its rest. */
-    private void learn(ByteBuffer keys) {
-        for (keys.rewind(); keys.remaining() >= Integer.BYTES;) {
-            int place = (int) (seen++ % lately.length);
-            if (seen > lately.length) {
-                oftenLately.computeIfPresent(lately[place], (k, n) -> n > 1 ? n - 1 : null);
-            }
-            lately[place] = keys.getInt();
-            oftenLately.merge(lately[place], 1, Integer::sum);
-        }
-        keys.rewind();
-    }
-
     /** Sends a read to the less busy of its two top nodes, or holds it while we fetch its key. */
     private void lookUp(double now, Held r, Actions out) {
         if (hold(r)) {
@@ -523,7 +548,7 @@
     }
 
     private void afterLookUp(double now, Held r, NodeView node, Outcome outcome, Actions out) {
-        boolean network = broke(outcome) && usualBreaks > BREAKING;
+        boolean network = outcome.broke() && usualBreaks > BREAKING;
         if (network && node != null && node.usable(now) && mayRepeat(now, r) && r.samePlace++ == 0) {
             // The node is fine and may hold the key: another would miss, and a miss is one more fetch.
             lookUp(now, r, out);
@@ -605,7 +630,7 @@
         Outcome outcome = end.outcome();
         boolean again = outcome != Outcome.OK && outcome != Outcome.REJECTED;
         // What the network breaks is repeated while throttled too: the token that it draws bounds the load.
-        boolean may = control.level == 0 || turnedAway(end) || broke(outcome) && usualBreaks > BREAKING
+        boolean may = control.level == 0 || turnedAway(end) || outcome.broke() && usualBreaks > BREAKING
                 || outcome == Outcome.ERROR && usualErrors > BREAKING;
         if (again && may && r.fetchTries++ == 0 && mayRepeat(now, r)) {
             fetch(now, r, out);
@@ -673,6 +698,11 @@
                 secondScore = score;
             }
         }
+        NodeView idle = returned.isEmpty() || r.in.write() ? null : longReturned(now, r);
+        if (idle != null) {
+            second = null;
+            first = idle;
+        }
         boolean canFirst = first != null && !r.tried.contains(first) && first.open(now, r.low);
         boolean canSecond = second != null && !r.tried.contains(second) && second.open(now, r.low);
         r.pickedSecond = canSecond && (!canFirst || second.inFlight < first.inFlight);
@@ -680,6 +710,13 @@
         return r.pickedSecond ? second : canFirst ? first : null;
     }
 
+    private NodeView longReturned(double now, Held r) {
+        returned.keySet().removeIf(n -> !caches.contains(n));
+        return returned.entrySet().stream()
+                .filter(e -> now - e.getValue() >= BACK_IN_USE_MS && !r.tried.contains(e.getKey()))
+                .map(Map.Entry::getKey).findFirst().orElse(null);
+    }
+
     /**
      * A key that came again within our latest requests is hot: it counts as several keys, each with a pair of
      * its own, as many as keep each node's part of it under a part of its usual work. Prevents jams where one
@@ -688,15 +725,15 @@
      */
     private void heat(Held r, Actions out) {
         int key = (int) mix(r.in.key());
-        int known = (int) Math.min(seen, lately.length);
-        int same = oftenLately.getOrDefault(key, 0);
+        int known = lately.size();
+        int same = lately.count(key);
         news.putInt(key);
         if (!peers) {
-            learn(news);
+            lately.addAll(news);
         } else if (!news.hasRemaining()) {
             if (random.nextDouble() * settings.proxies() < HEARD_BY) {
                 out.tell(news.array());
-                learn(news);
+                lately.addAll(news);
             }
             news.clear();
         }
@@ -725,6 +762,7 @@
             r.firstSent = now;
         }
         node.inFlight++;
+        returned.remove(node);
         if (!node.isOrigin()) {
             cacheSends.add(now, 1);
         }
@@ -780,8 +818,8 @@
         countOverdue(now);
         fetchMs *= FETCH_FADE;
         control.floor = BASE_FLOOR * Math.min(1, caches.size() / (double) settings.proxies());
-        usualBreaks = median(caches.stream().mapToDouble(n -> n.broken).sorted().toArray());
-        usualErrors = median(caches.stream().mapToDouble(n -> n.errors).sorted().toArray());
+        usualBreaks = median(caches.stream().mapToDouble(n -> n.broken));
+        usualErrors = median(caches.stream().mapToDouble(n -> n.errors));
         control.judge(usualBreaks, usualErrors);
         control.step(INTERVAL_MS, bank.refusals);
         bank.rate(now, control.rate());
@@ -796,10 +834,6 @@
         intervalEnd = now + INTERVAL_MS;
     }
 
-    private static double median(double[] sorted) {
-        return sorted.length == 0 ? 0 : sorted[(sorted.length - 1) / 2];
-    }
-
     /**
      * A fetch that is out past its aim is bad already; waiting for its end would tell of a full origin only
      * once its queue has been as long as the clients' patience. Also tells of an origin that has stopped.
@@ -822,16 +856,11 @@
         if (settings.weights() == Weights.SIZE) {
             return;
         }
-        Map<String, double[]> models = new LinkedHashMap<>();
         double all = caches.stream().mapToDouble(n -> n.eachMs).average().orElse(1);
+        Map<String, Double> means = caches.stream()
+                .collect(Collectors.groupingBy(NodeView::model, Collectors.averagingDouble(n -> n.eachMs)));
         for (NodeView n : caches) {
-            double[] sum = models.computeIfAbsent(String.valueOf(n.entry.model()), m -> new double[2]);
-            sum[0] += n.eachMs;
-            sum[1]++;
-        }
-        for (NodeView n : caches) {
-            double[] sum = models.get(String.valueOf(n.entry.model()));
-            double target = Math.min(MODEL_SPAN, Math.max(1 / MODEL_SPAN, all * sum[1] / sum[0]));
+            double target = Math.min(MODEL_SPAN, Math.max(1 / MODEL_SPAN, all / means.get(n.model())));
             n.weight += SMOOTH * (target - n.weight);
         }
         noteShares();
@@ -852,19 +881,19 @@
 
     private void relist() {
         // Ids that left never come back, and on a long day there is no end to new ones.
-        nodes.values().removeIf(n -> !n.listed && n.inFlight == 0);
+        nodes.values().removeIf(n -> !n.listed && n.inFlight == 0 && !outages.isOut(n.entry.id()));
         List<NodeView> list = new ArrayList<>();
         origin = null;
         for (NodeView n : nodes.values()) {
             if (n.listed && n.isOrigin()) {
                 origin = n;
-            } else if (n.listed) {
+            } else if (n.listed && !outages.isOut(n.entry.id())) {
                 list.add(n);
             }
         }
         list.sort(Comparator.comparing(n -> n.entry.id()));
         caches = list;
-        remember(LATELY_A_NODE * list.size());
+        lately.holdAtLeast(LATELY_A_NODE * list.size());
         hashes = list.stream().mapToLong(n -> n.hash).toArray();
         if (settings.weights() == Weights.SIZE) {
             takeSizes();
@@ -872,14 +901,6 @@
         noteShares();
     }
 
-    private void remember(int keys) {
-        if (keys > lately.length) {
-            lately = new int[keys];
-            oftenLately.clear();
-            seen = 0;
-        }
-    }
-
     private void noteShares() {
         double most = Math.max(1, settings.rules().coldFrom());
         mostShares = caches.stream().mapToDouble(n -> most * n.weight).toArray();
@@ -947,14 +968,6 @@
             bad += wasGood ? 0 : 1;
         }
 
-        void countBroken() {
-            broken++;
-        }
-
-        void countSpoilt() {
-            spoilt++;
-        }
-
         /**
          * Of broken and of spoilt fetches only those count, as bad, that neither the share which the caches
          * have too nor chance explains: a network that breaks connections or answers says nothing of the
@@ -963,15 +976,12 @@
          */
         void judge(double usualBreaks, double usualErrors) {
             int all = good + bad + broken + spoilt;
-            bad += unusual(broken, usualBreaks * all) + unusual(spoilt, usualErrors * all);
+            bad += beyondChance(broken, usualBreaks * all, CHANCE)
+                    + beyondChance(spoilt, usualErrors * all, CHANCE);
             broken = 0;
             spoilt = 0;
         }
 
-        private static int unusual(int seen, double expected) {
-            return (int) Math.ceil(Math.max(0, seen - expected - CHANCE * Math.sqrt(expected)));
-        }
-
         void step(double intervalMs, int refusals) {
             int all = good + bad;
             if (level == 0) {
@@ -1032,30 +1042,6 @@
         }
     }
 
-    /** An exponentially forgetting rate. */
-    private static final class Meter {
-        private static final double MEMORY_MS = 3000;
-        private double since = -1, sum, at;
-
-        void add(double now, int amount) {
-            perS(now);
-            sum = Math.max(0, sum + amount);
-        }
-
-        double perS(double now) {
-            return perS(now, 0);
-        }
-
-        /** The rate without so many of the latest; early on each of them weighs far more than later. */
-        double perS(double now, long latest) {
-            sum *= Math.exp(-(now - at) / MEMORY_MS);
-            at = now;
-            since = since < 0 ? now : since;
-            double counted = Math.max(0, sum - latest);
-            return counted / MEMORY_MS * 1000 / (1 - Math.exp(-Math.max(500, now - since) / MEMORY_MS));
-        }
-    }
-
     /** What we know of a node. */
     private final class NodeView {
         final long hash;
@@ -1065,8 +1051,8 @@
         int inFlight;
         double strikes;
         double eachMs, spoilt, broken, errors, silent;
-        /** Usual time of an answered attempt and its mean deviation. */
-        double usualMs, deviationMs;
+        /** Times of its answered attempts. */
+        final Spread usual = new Spread(SMOOTH);
         int ejections;
         double lastEnd = Double.NEGATIVE_INFINITY;
         boolean onTrial;
@@ -1091,6 +1077,10 @@
             listed = e.availability() == Availability.UP;
         }
 
+        String model() {
+            return String.valueOf(entry.model());
+        }
+
         boolean isOrigin() {
             return hasOrigin && settings.originModel().equals(entry.model());
         }
@@ -1148,7 +1138,7 @@
             inFlight = Math.max(0, inFlight - 1);
             lastEnd = now;
             if (end.outcome() != Outcome.CANCELLED && end.outcome() != Outcome.NEVER_SENT) {
-                broken += BROKEN_SMOOTH * ((broke(end.outcome()) ? 1 : 0) - broken);
+                broken += BROKEN_SMOOTH * ((end.outcome().broke() ? 1 : 0) - broken);
                 errors += BROKEN_SMOOTH * ((end.outcome() == Outcome.ERROR ? 1 : 0) - errors);
             }
             switch (end.outcome()) {
@@ -1158,7 +1148,7 @@
                     strikes = 0;
                     spoilt -= SPOILT_SMOOTH * spoilt;
                     silent -= SILENT_SMOOTH * silent;
-                    answered(end.elapsedMs());
+                    usual.add(end.elapsedMs());
                     ejections = spoilt < SPOILT_SMOOTH ? 0 : ejections;
                     timed(end.elapsedMs());
                 }
@@ -1181,13 +1171,6 @@
             }
         }
 
-        private void answered(double elapsedMs) {
-            if (elapsedMs >= 0) {
-                deviationMs += SMOOTH * (Math.abs(elapsedMs - usualMs) - deviationMs);
-                usualMs += SMOOTH * (elapsedMs - usualMs);
-            }
-        }
-
         /**
          * Whether it answers quickly or not at all: then silence means that the request is lost, and it is
          * repeated within its aim. Guards against machines and links that drop some of what they
@@ -1197,7 +1180,7 @@
          */
         boolean loses(double aimMs) {
             return (silent > LOSING || lost > LOSSY || doubted) && silent < SILENT
-                    && usualMs + DEVIATIONS * deviationMs < SOONEST * aimMs;
+                    && usual.latest(DEVIATIONS) < SOONEST * aimMs;
         }
 
         /** Learns from an attempt's time; faster while paced, as few attempts are left to learn from. */
@@ -1236,6 +1219,13 @@
             silent = Math.min(silent, SILENT);
         }
 
+        /** Its outage is over. It was started anew meanwhile: cold from now if no list says since when. */
+        void back(double now, double outSince) {
+            cleared();
+            coldSince = coldSince < outSince ? now : coldSince;
+            returned.put(this, now);
+        }
+
         private void spare(double now, List<NodeView> peers, int times) {
             if (isOrigin()) {
                 return;
@@ -1247,27 +1237,4 @@
             }
         }
     }
-
-    private static boolean broke(Outcome outcome) {
-        return outcome == Outcome.RESET || outcome == Outcome.CONNECT_FAILED;
-    }
-
-    private static long hashText(String text) {
-        long h = 0xcbf29ce484222325L;
-        for (int i = 0; i < text.length(); i++) {
-            h = (h ^ text.charAt(i)) * 0x100000001b3L;
-        }
-        return h;
-    }
-
-    /** A number in (0, 1] that depends on {@code z} alone. */
-    private static double unit(long z) {
-        return ((mix(z) >>> 11) + 1) * 0x1.0p-53;
-    }
-
-    private static long mix(long z) {
-        z = (z ^ (z >>> 33)) * 0xff51afd7ed558ccdL;
-        z = (z ^ (z >>> 33)) * 0xc4ceb9fe1a85ec53L;
-        return z ^ (z >>> 33);
-    }
 }
--- a/src/main/java/hopglade/Router.java
+++ b/src/main/java/hopglade/Router.java
@@ -56,6 +56,11 @@
         public boolean provesNotRun() {
             return provesNotRun;
         }
+
+        /** Whether its connection broke or never came up. */
+        public boolean broke() {
+            return this == RESET || this == CONNECT_FAILED;
+        }
     }
 
     /** A request class: its aim, the time its clients wait, its worth and what repeating it does. */
@@ -154,7 +159,7 @@
         /** Sends a short message to every other proxy; it may be lost. */
         void tell(byte[] contents);
 
-        /** Closes this proxy's idle connections to a node. */
+        /** Closes this proxy's idle connections to a node, and ends what waits for one there as never sent. */
         void close(String node);
     }
 
@@ -188,6 +193,14 @@
      */
     default void standing(double now, String node, boolean doubted, Actions out) { }
 
+    /**
+     * The operators take a cache node out, or put it back: from the return on nothing new goes there until it is put back,
+     * whatever the list says. False where no list ever named such a cache node; then nothing has changed.
+     */
+    default boolean maintain(double now, String node, boolean begins, Actions out) {
+        return false;
+    }
+
     /** A message from another proxy. */
     void peerMessage(double now, int from, byte[] contents, Actions out);
 
--- /dev/null
+++ b/src/main/java/hopglade/maintenance/Outages.java
@@ -0,0 +1,45 @@
+package hopglade.maintenance;
+
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * The cache nodes that the operators have taken out, and every id that a list ever named. An outage outlasts whatever
+ * discovery says of its node, and ends by the operators' word alone. Calls cost a look into a hash table.
+ */
+public final class Outages {
+
+    /** Ids that are remembered; of more, the oldest go that are not out. */
+    static final int KNOWN = 4096;
+
+    private final Set<String> known = new LinkedHashSet<>();
+    private final Map<String, Double> outSince = new HashMap<>();
+
+    /** A list has named this cache node. */
+    public void listed(String node) {
+        if (known.add(node) && known.size() > KNOWN) {
+            known.stream().filter(id -> !isOut(id)).findFirst().ifPresent(known::remove);
+        }
+    }
+
+    /** Whether any list ever named it. */
+    public boolean knows(String node) {
+        return known.contains(node);
+    }
+
+    /** Begins an outage; one that is on goes on. */
+    public void begin(double now, String node) {
+        outSince.putIfAbsent(node, now);
+    }
+
+    /** Ends an outage and tells when it began, or null where there was none. */
+    public Double end(String node) {
+        return outSince.remove(node);
+    }
+
+    public boolean isOut(String node) {
+        return outSince.containsKey(node);
+    }
+}
--- /dev/null
+++ b/src/main/java/hopglade/measure/Samples.java
@@ -0,0 +1,20 @@
+package hopglade.measure;
+
+import java.util.stream.DoubleStream;
+
+/** What samples tell: the middle of many values, and how far a count is from what chance explains. */
+public final class Samples {
+
+    private Samples() { }
+
+    /** The lower of the two in the middle where their number is even; 0 of none. */
+    public static double median(DoubleStream values) {
+        double[] sorted = values.sorted().toArray();
+        return sorted.length == 0 ? 0 : sorted[(sorted.length - 1) / 2];
+    }
+
+    /** How many of a count are left when so many were expected and chance may have added so many deviations. */
+    public static int beyondChance(int seen, double expected, double deviations) {
+        return (int) Math.ceil(Math.max(0, seen - expected - deviations * Math.sqrt(expected)));
+    }
+}
--- a/src/main/java/hopglade/proxy/NodePool.java
+++ b/src/main/java/hopglade/proxy/NodePool.java
@@ -30,6 +30,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -141,10 +142,15 @@
         }
     }
 
+    /** Closes what carries nothing there, and ends what waits for a connection: its request has not been written. */
     void closeIdle(String node) {
         Target target = targets.get(node);
         if (target != null) {
             closeIdle(target);
+            List.copyOf(target.connecting).forEach(e -> e.abandon(Outcome.NEVER_SENT));
+            for (Exchange e = target.nextWaiting(); e != null; e = target.nextWaiting()) {
+                e.end(Outcome.NEVER_SENT, null);
+            }
         }
     }
 
@@ -282,11 +288,13 @@
             }
         }).connect(target.dial);
         exchange.channel = connecting.channel();
+        target.connecting.add(exchange);
         connecting.channel().closeFuture().addListener(f -> {
             connections--;
             target.connections--;
         });
         connecting.addListener(f -> {
+            target.connecting.remove(exchange);
             if (!f.isSuccess()) {
                 connecting.channel().close();
                 exchange.end(Outcome.CONNECT_FAILED, null);
@@ -323,6 +331,8 @@
         /** False once the list has moved on: connections that come free then must not wait for a use. */
         boolean current = true;
         final Deque<Exchange> waiting = new ArrayDeque<>();
+        /** Those for which a connection is being opened. */
+        final Set<Exchange> connecting = new HashSet<>();
         int connections;
         final FullTable table = new FullTable();
         private boolean opening;
--- a/src/test/java/hopglade/HouseRulesTest.java
+++ b/src/test/java/hopglade/HouseRulesTest.java
@@ -30,6 +30,22 @@
                 .orShould().callMethod(System.class, "currentTimeMillis"));
     }
 
+    @Test
+    void decisionPackagesUseTheJdkAlone() {
+        String[] packages = {"hopglade.measure..", "hopglade.maintenance.."};
+        holds(noClasses().that().resideInAnyPackage(packages).should().dependOnClassesThat().resideInAnyPackage(CLOCKS_SOCKETS_THREADS));
+        holds(noClasses().that().resideInAnyPackage(packages).should().dependOnClassesThat()
+                .resideInAnyPackage("hopglade.proxy..", "hopglade.lab..", "hopglade.config..", "hopglade.admin..", "hopglade.store.."));
+        holds(noClasses().that().resideInAnyPackage(packages).should().callMethod(System.class, "nanoTime")
+                .orShould().callMethod(System.class, "currentTimeMillis"));
+    }
+
+    @Test
+    void theOperatorsAddressAndTheirFilesDecideNothing() {
+        holds(noClasses().that().resideInAnyPackage("hopglade.admin..", "hopglade.store..").should().dependOnClassesThat()
+                .resideInAnyPackage("hopglade", "hopglade.proxy..", "hopglade.lab..", "hopglade.cli.."));
+    }
+
     @Test
     void serveKnowsNothingOfTools() {
         holds(noClasses().that().resideInAnyPackage("hopglade.proxy..", "hopglade.benchlink..").should()
