Serve the operators' address, empty the proxy on their word, and hand clients to the next process

Causes: the second process bound an address that was taken, and nobody listened at `admin`.

Operators' address (hopglade.admin): at most 16 connections, of which the oldest makes room, one call each, on the proxy's own loop, open before the warm-up so that a starting process can say no. It carries calls to a desk and decides nothing. Rejected: a loop of its own. All calls but one must reach the module's thread anyway, and a thread more costs every start.

Rejected: one file with all of them, as two processes would overwrite each other's. What can't be kept is a no.

SIGTERM without a passed socket is as before.

Hand-over: the listener is the inherited descriptor, by System.inheritedChannel under Netty's NIO channel. It is never closed but no longer read: its close lays descriptors 1 and 2 on the null device, and the log with them. On SIGTERM the old process accepts no more, answers all it accepted, and ends when none is left. Rejected: Netty's native transport, a library more to load at each start for a descriptor that the Java machine hands over itself.

Tests: OperationsTest (calls, silent callers, two processes, a full disk, a drain), HandoverTest (real processes on a passed socket, replaced twice under eight clients; values that are no listening socket).

--- a/src/main/java/hopglade/Main.java
+++ b/src/main/java/hopglade/Main.java
@@ -67,7 +67,7 @@
         } catch (ConfigException | BadFileException e) {
             System.err.println("hopglade: configuration: " + e.getMessage());
             System.exit(EXIT_CONFIG);
-        } catch (IOException e) {
+        } catch (IOException | IllegalStateException e) {
             System.err.println("hopglade: " + e.getMessage());
             System.exit(EXIT_FAILED);
         } catch (NoClassDefFoundError e) {
--- /dev/null
+++ b/src/main/java/hopglade/admin/AdminServer.java
@@ -0,0 +1,143 @@
+package hopglade.admin;
+
+import hopglade.admin.Desk.Reply;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.SocketAddress;
+import java.net.URI;
+import java.net.URISyntaxException;
+import java.nio.CharBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+
+/** Serves the operators' address: one call to a connection, and few connections, of which the oldest makes room. */
+public final class AdminServer {
+
+    /** Connections at once: callers that say nothing may use them up, so one more ends the one that has been here longest. */
+    public static final int PLACES = 16;
+    /** A call is short; one that has not come by then never will. */
+    private static final long PATIENCE_MS = 5000;
+    private static final int MAX_HEAD = 4096;
+    private static final int MAX_BODY = 1024;
+
+    private final EventLoop loop;
+    private final Desk desk;
+    private final Deque<Channel> open = new ArrayDeque<>();
+
+    public AdminServer(EventLoop loop, Desk desk) {
+        this.loop = loop;
+        this.desk = desk;
+    }
+
+    /** Begins to listen; the future tells of the address. */
+    public ChannelFuture listen(SocketAddress address) {
+        return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true).childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        admit(channel);
+                        channel.pipeline().addLast(new HttpRequestDecoder(new HttpDecoderConfig().setMaxHeaderSize(MAX_HEAD)),
+                                new HttpResponseEncoder(), new HttpObjectAggregator(MAX_BODY), new Calls());
+                    }
+                }).bind(address);
+    }
+
+    private void admit(Channel channel) {
+        if (open.size() >= PLACES) {
+            open.peekFirst().close();
+        }
+        open.addLast(channel);
+        var ends = loop.schedule(() -> channel.close(), PATIENCE_MS, TimeUnit.MILLISECONDS);
+        channel.closeFuture().addListener(f -> {
+            ends.cancel(false);
+            open.remove(channel);
+        });
+    }
+
+    /** What a call names is looked for here; what it does is the desk's. */
+    private Reply reply(FullHttpRequest call) {
+        String[] path;
+        try {
+            path = new URI(call.uri()).getRawPath().split("/", -1);
+        } catch (URISyntaxException | NullPointerException e) {
+            return new Reply(400, "no path: " + call.uri());
+        }
+        boolean health = path.length >= 2 && path[1].equals("healthcheck");
+        if (health && path.length == 2) {
+            return only(HttpMethod.GET, call) ? desk.health() : wrongMethod("GET");
+        }
+        boolean drains = health && path.length == 3 && (path[2].equals("fail") || path[2].equals("ok"));
+        boolean node = path.length == 4 && path[1].equals("cache-nodes")
+                && (path[3].equals("maint") || path[3].equals("ready"));
+        if (!drains && !node) {
+            return new Reply(404, "no such call: " + call.uri());
+        } else if (!only(HttpMethod.POST, call)) {
+            return wrongMethod("POST");
+        }
+        // A part of a path that the whole could be read with can be read.
+        return drains ? desk.drain(path[2].equals("fail"))
+                : desk.maintain(URI.create("/" + path[2]).getPath().substring(1), path[3].equals("maint"));
+    }
+
+    private static boolean only(HttpMethod method, FullHttpRequest call) {
+        return call.method().equals(method);
+    }
+
+    private static Reply wrongMethod(String right) {
+        return new Reply(405, "this call is a " + right);
+    }
+
+    /** One connection's one call. */
+    private final class Calls extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private boolean answered;
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest call) {
+            if (!answered) {
+                answered = true;
+                Reply reply = call.decoderResult().isFailure() ? new Reply(400, "no HTTP request") : reply(call);
+                answer(ctx, reply);
+            }
+        }
+
+        private void answer(ChannelHandlerContext ctx, Reply reply) {
+            ByteBuf text = ByteBufUtil.encodeString(ctx.alloc(), CharBuffer.wrap(reply.text() + "\n"), StandardCharsets.UTF_8);
+            FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.valueOf(reply.status()), text);
+            answer.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, text.readableBytes())
+                    .set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8")
+                    .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            ctx.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- a/src/main/java/hopglade/proxy/ClientServer.java
+++ b/src/main/java/hopglade/proxy/ClientServer.java
@@ -4,6 +4,7 @@
 import hopglade.Router.Request;
 import hopglade.Router.ServiceClass;
 import hopglade.Router.Settings;
+import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -33,6 +34,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.math.BigDecimal;
 import java.net.SocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayDeque;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -85,6 +87,9 @@
     private boolean full;
     private int idle;
     private boolean draining;
+    private boolean emptying;
+    /** Whether other processes listen on the same socket. */
+    private boolean shared;
     private boolean stopped;
 
     ClientServer(EventLoop loop, Proxy proxy, Settings settings, int maxConnections) {
@@ -95,8 +100,23 @@
     }
 
     ChannelFuture listen(Transport transport, SocketAddress address) {
-        ChannelFuture bound = transport.server(loop)
-                .childHandler(new ChannelInitializer<>() {
+        return listens(serving(transport.server(loop)).bind(address));
+    }
+
+    /** Takes clients from a socket that listens already and that other processes take them from as well. */
+    ChannelFuture listen(ServerSocketChannel passed) {
+        shared = true;
+        return listens(serving(Transport.server(loop, passed)).register());
+    }
+
+    private ChannelFuture listens(ChannelFuture bound) {
+        listener = bound.channel();
+        loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        return bound;
+    }
+
+    private ServerBootstrap serving(ServerBootstrap server) {
+        return server.childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         Connection connection = new Connection(channel);
@@ -105,10 +125,7 @@
                         makeRoom();
                         connections.add(connection);
                     }
-                }).bind(address);
-        listener = bound.channel();
-        loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
-        return bound;
+                });
     }
 
     private void sweep() {
@@ -120,6 +137,11 @@
         ready = true;
     }
 
+    /** Whether clients may come, but for an operator's drain. */
+    boolean isReady() {
+        return ready && !draining;
+    }
+
     int connections() {
         return connections.size();
     }
@@ -133,10 +155,37 @@
         connections.forEach(c -> c.kept = c.proven);
     }
 
+    /**
+     * The operators empty this proxy, or end that. Each answer is then its connection's last; clients have elsewhere to go,
+     * so those that were served before are not kept either.
+     */
+    void empty(boolean begins) {
+        emptying = begins;
+    }
+
+    boolean isEmptying() {
+        return emptying;
+    }
+
+    /** Another process takes the clients from now on; what this one accepted it answers, each connection once more. */
+    void handOver() {
+        draining = true;
+        emptying = true;
+        accept(false);
+    }
+
+    private void accept(boolean accepts) {
+        listener.config().setAutoRead(accepts);
+    }
+
     /** No new connections, and none is kept that has no request. */
     void stop() {
         stopped = true;
-        listener.close();
+        if (shared) {
+            accept(false);
+        } else {
+            listener.close();
+        }
         List.copyOf(connections).forEach(Connection::closeIfIdle);
     }
 
@@ -157,7 +206,7 @@
         }
         if (crowded) {
             full = true;
-            listener.config().setAutoRead(false);
+            accept(false);
         }
     }
 
@@ -169,7 +218,7 @@
         connections.remove(connection);
         if (full && connections.size() < maxConnections) {
             full = false;
-            listener.config().setAutoRead(true);
+            accept(!shared || !draining);
         }
     }
 
@@ -229,7 +278,7 @@
             switch (phase) {
                 case SILENT -> closeAfter(ms, SILENT_MS);
                 case IDLE -> closeAfter(ms, written != null && !written.isDone() ? UNREAD_MS
-                        : crowded() ? CROWDED_IDLE_MS : IDLE_MS);
+                        : emptying || crowded() ? CROWDED_IDLE_MS : IDLE_MS);
                 case CLOSING -> closeAfter(ms, written != null && !written.isDone() ? UNREAD_MS : LINGER_MS);
                 case READING -> {
                     if (ms >= READING_MS) {
@@ -276,7 +325,7 @@
             } else if (!method.equals(HttpMethod.GET) && !(api && method.equals(HttpMethod.PUT))) {
                 reject(HttpResponseStatus.METHOD_NOT_ALLOWED);
             } else if (!api) {
-                answer(ready && !draining ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE);
+                answer(isReady() && !emptying ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE);
             } else {
                 call(request, path, arrived);
             }
@@ -344,7 +393,7 @@
         private void answer(FullHttpResponse answer) {
             HttpUtil.setContentLength(answer, answer.content().readableBytes());
             // While clients wait to be accepted, a connection that is kept would keep one of them out.
-            boolean last = stopped || draining && !kept || full || crowded() || !keepAlive;
+            boolean last = stopped || emptying || draining && !kept || full || crowded() || !keepAlive;
             if (last) {
                 answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
--- a/src/main/java/hopglade/proxy/Config.java
+++ b/src/main/java/hopglade/proxy/Config.java
@@ -17,14 +17,18 @@
 
 /**
  * What the deployment tells a proxy. {@code peerListen} and {@code peersAll} are null and {@code peers} empty where
- * proxies may not talk to one another; {@code known} is null where the proxy has never had a list.
+ * proxies may not talk to one another; {@code known} is null where the proxy has never had a list. {@code admin}, the operators'
+ * address, is null where there is none, {@code passedSocket} where the proxy binds its clients' socket itself, and
+ * {@code shared}, the folder that it shares with the process it replaces, where neither is there.
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
                      InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll,
-                     HostList known, Settings settings, int maxOpen) {
+                     HostList known, Settings settings, int maxOpen, InetSocketAddress admin, String passedSocket,
+                     Path shared) {
 
     private static final int DEFAULT_SOCKETS = 1024;
     private static final int HEX = 16;
+    private static final String SHARED = "flintmill";
 
     public Config {
         peers = List.copyOf(peers);
@@ -59,11 +63,15 @@
             if (settings == null) {
                 throw new ConfigException("settings: missing");
             }
+            String adminAddress = text(o, "admin", environment.get("BALANCER_ADMIN"));
+            String passed = environment.get("BALANCER_PASSED_SOCKET");
             return new Config(text(o, "name", environment.get("BALANCER_NAME")),
                     required(o, "listen", environment.get("BALANCER_LISTEN")),
                     required(o, "discovery", environment.get("BALANCER_DISCOVERY")), seed(o), sockets(o),
                     optional(o, "peer_listen"), peers(o), optional(o, "peers_all"),
-                    known(o), SettingsReader.read(settings), maxOpen(settings));
+                    known(o), SettingsReader.read(settings), maxOpen(settings),
+                    adminAddress == null ? null : Addresses.parse(adminAddress), passed,
+                    adminAddress == null && passed == null ? null : shared(environment));
         } catch (RuntimeException e) {
             // Gson and the settings' own checks report what is wrong by several unchecked types.
             throw new ConfigException(String.valueOf(e.getMessage()).lines().findFirst().orElse("malformed"));
@@ -104,6 +112,16 @@
         return known == null || known.isJsonNull() ? null : HostList.parse(known.getAsJsonObject());
     }
 
+    private static Path shared(Map<String, String> environment) {
+        String folder = environment.get("TMPDIR");
+        return folder == null ? null : Path.of(folder, SHARED);
+    }
+
+    /** Whether a process of this proxy has started here before, and may be running still. */
+    boolean replaces() {
+        return shared != null && Files.isDirectory(shared);
+    }
+
     private static long seed(JsonObject o) {
         String seed = text(o, "seed", null);
         return seed == null ? System.nanoTime() : Long.parseUnsignedLong(seed, HEX);
--- a/src/main/java/hopglade/proxy/Proxy.java
+++ b/src/main/java/hopglade/proxy/Proxy.java
@@ -99,6 +99,7 @@
     private final Log log = new Log();
     private final Tally tally = new Tally();
     private Runnable subscribe = () -> { };
+    private Runnable listed = () -> { };
     private Consumer<byte[]> tell = contents -> { };
     /** Null where nothing is shared. */
     private Watch watch;
@@ -121,6 +122,11 @@
         tell = tellsPeers;
     }
 
+    /** Names what runs once the module knows a list and before anything is sent by it. */
+    void onList(Runnable runs) {
+        listed = runs;
+    }
+
     /** Names who is told of what this proxy sees; before {@link #start}. */
     void watch(Watch watching) {
         watch = watching;
@@ -166,6 +172,14 @@
             watch.listed(kind, list.nodes().stream().filter(n -> !n.id().equals(origin)).toList());
         }
         tell(now -> router.nodes(now, kind, list.version(), list.nodes(), this), () -> { });
+        listed.run();
+    }
+
+    /** The operators take a cache node out or put it back; false where the module has not taken that. */
+    boolean maintain(String node, boolean begins) {
+        boolean[] taken = new boolean[1];
+        tell(now -> taken[0] = router.maintain(now, node, begins, this), () -> { });
+        return taken[0];
     }
 
     void discoveryRefused() {
--- a/src/main/java/hopglade/proxy/Service.java
+++ b/src/main/java/hopglade/proxy/Service.java
@@ -13,6 +13,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.Arrays;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
@@ -23,7 +24,7 @@
 /** One running proxy: puts the parts together on one event loop, and takes them down without losing a request. */
 public final class Service {
 
-    /** Descriptors for the listener, the watch, peers, the selector and the Java machine's own files. */
+    /** Descriptors for the listener, the watch, peers, operators, the selector and the Java machine's own files. */
     static final int RESERVED_SOCKETS = 48;
     /** Part of the other descriptors that is for clients; each of their requests has one attempt out at most. */
     private static final double CLIENT_PART = 0.5;
@@ -41,6 +42,7 @@
     /** A configuration with one of everything, at addresses that any machine has. */
     static final String REHEARSED = """
             {"name": "rehearsal", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:0", "seed": "1", "peer_listen": "127.0.0.1:0",
+             "admin": "127.0.0.1:0",
              "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
              "known": {"seq": 0, "whole": true, "hosts": [{"host": "s", "dial": "127.0.0.1:1", "site": "a", "class": "m",
                        "block": 1, "health": "up", "share": 1.0, "born_ms": 0}]},
@@ -67,11 +69,16 @@
     private Sharing sharing;
     private InetSocketAddress listening;
     private String state = "";
+    /** Null where the platform passes none. */
+    private final ServerSocketChannel passed;
+    /** Null where there is no operators' address. */
+    private Operations operations;
     private OptionsSource options = () -> Options.DEFAULTS;
     private int tallyS = Options.DEFAULTS.log().tallyS();
 
-    private Service(Config config, Router router) {
+    private Service(Config config, Router router) throws ConfigException {
         this.config = config;
+        passed = config.passedSocket() == null ? null : PassedSocket.take(config.passedSocket());
         Settings settings = config.settings();
         int sockets = Math.max(2, config.sockets() - RESERVED_SOCKETS);
         int clientSockets = Math.max(1, (int) (sockets * CLIENT_PART));
@@ -93,8 +100,7 @@
     public static void rehearse() throws IOException, InterruptedException, ConfigException {
         Hangup.handle(() -> { });
         Config config = Config.parse(REHEARSED, Map.of());
-        Warmup.run(config.settings(), config.peerListen(), null);
-        Service service = start(config, new Decide(config.settings(), config.seed()), Options.DEFAULTS.gossip());
+        Service service = start(config, Options.DEFAULTS);
         service.beginDrain();
         service.endDrain();
         service.awaitEnd();
@@ -127,8 +133,7 @@
 
     /** Starts a proxy with the project's decisions. */
     public static Service start(Config config, Options options) throws IOException, InterruptedException, ConfigException {
-        Warmup.run(config.settings(), config.peerListen(), config.known());
-        return start(config, new Decide(config.settings(), config.seed()), options.gossip());
+        return start(config, new Decide(config.settings(), config.seed()), options.gossip(), true);
     }
 
     static Service start(Config config, Router router) throws IOException, InterruptedException, ConfigException {
@@ -136,8 +141,20 @@
     }
 
     static Service start(Config config, Router router, Options.Gossip gossip) throws IOException, InterruptedException, ConfigException {
+        return start(config, router, gossip, false);
+    }
+
+    private static Service start(Config config, Router router, Options.Gossip gossip, boolean warm)
+            throws IOException, InterruptedException, ConfigException {
         Service service = new Service(config, router);
         try {
+            if (config.admin() != null) {
+                service.operations = new Operations(service.loop, service.proxy, service.clients, config.shared());
+                bound(service.operations.listen(config.admin()), config.admin());
+            }
+            if (warm) {
+                Warmup.run(config.settings(), config.peerListen(), config.known(), config.replaces());
+            }
             if (gossip.enabled()) {
                 service.join(gossip);
             }
@@ -162,8 +179,14 @@
             bound(peers.listen(), config.peerListen());
         }
         // The module knows its list before the first client can come.
-        loop.submit(() -> proxy.start(config.known())).sync();
-        listening = (InetSocketAddress) bound(clients.listen(Transport.TCP, config.listen()), config.listen()).channel().localAddress();
+        loop.submit(() -> {
+            proxy.start(config.known());
+            if (operations != null) {
+                operations.open();
+            }
+        }).sync();
+        ChannelFuture listens = passed == null ? clients.listen(Transport.TCP, config.listen()) : clients.listen(passed);
+        listening = (InetSocketAddress) bound(listens, config.listen()).channel().localAddress();
         loop.execute(discovery::start);
         long patience = config.settings().mustSubscribe() ? 0 : FIRST_NEWS_MS;
         loop.schedule(clients::ready, patience, TimeUnit.MILLISECONDS);
@@ -184,6 +207,10 @@
         return peers.listening();
     }
 
+    InetSocketAddress adminListening() {
+        return operations.listening();
+    }
+
     InetSocketAddress listening() {
         return listening;
     }
@@ -217,7 +244,11 @@
 
     /** Ends the service once nothing is owed, and returns then. */
     public void drain() {
-        beginDrain();
+        if (passed == null) {
+            beginDrain();
+        } else {
+            handOver();
+        }
         double longest = config.settings().classes().stream().mapToDouble(ServiceClass::deadlineMs).max().orElse(0);
         longest = Math.min(LONGEST_MS, longest);
         loop.schedule(this::endDrain, (long) (KILL_MS + longest / 2), TimeUnit.MILLISECONDS);
@@ -238,6 +269,18 @@
         loop.execute(clients::drain);
     }
 
+    /** The next process serves whoever comes; ends when all that was taken is answered. */
+    void handOver() {
+        Log.event("handing_over");
+        if (sharing != null) {
+            loop.execute(sharing::leave);
+        }
+        loop.execute(() -> {
+            clients.handOver();
+            finish();
+        });
+    }
+
     /** Takes no more, and ends when all that was taken is answered. */
     void endDrain() {
         loop.execute(() -> {
--- a/src/main/java/hopglade/proxy/Warmup.java
+++ b/src/main/java/hopglade/proxy/Warmup.java
@@ -84,17 +84,21 @@
         this.lastsMs = lastsMs;
     }
 
-    /** Returns how many requests were answered, when it has run long enough; a fault in it costs its gain alone. */
-    static int run(Settings settings, InetSocketAddress peerListen, HostList known)
+    /**
+     * Returns how many requests were answered, when it has run long enough; a fault in it costs its gain alone. A process
+     * that replaces another has time for it: until it is ready the other one serves, yet that waits for no more than seconds.
+     */
+    static int run(Settings settings, InetSocketAddress peerListen, HostList known, boolean replaces)
             throws IOException, InterruptedException {
         long begun = System.nanoTime();
         long started = begun;
         long ending = begun;
-        Warmup warmup = new Warmup(settings, patienceMs(known) + moreMs(known, false));
+        long patience = replaces ? PATIENCE_MS : patienceMs(known);
+        Warmup warmup = new Warmup(settings, patience + (replaces ? 0 : moreMs(known, false)));
         try (PeerEar ear = new PeerEar(peerListen)) {
             warmup.start();
             started = System.nanoTime();
-            if (!warmup.done.await(patienceMs(known), TimeUnit.MILLISECONDS)) {
+            if (!warmup.done.await(patience, TimeUnit.MILLISECONDS) && !replaces) {
                 warmup.done.await(moreMs(known, ear.heard(0)), TimeUnit.MILLISECONDS);
             }
             ending = System.nanoTime();
--- /dev/null
+++ b/src/main/java/hopglade/store/OutageFiles.java
@@ -0,0 +1,73 @@
+package hopglade.store;
+
+import java.io.IOException;
+import java.net.URLDecoder;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.FileAlreadyExistsException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.stream.Stream;
+
+/**
+ * The nodes that are out, as one empty file for each: the old and the new process of an upgrade see one another's, a change
+ * of one is whole or not made, and none can undo another's. Its name says all, so there is nothing in it to be damaged.
+ */
+public final class OutageFiles {
+
+    private static final String PREFIX = "out-";
+
+    private final Path folder;
+
+    public OutageFiles(Path folder) {
+        this.folder = folder;
+    }
+
+    /** Those that are out now; none where the folder is not there. */
+    public Set<String> read() {
+        Set<String> out = new HashSet<>();
+        if (Files.isDirectory(folder)) {
+            try (Stream<Path> files = Files.list(folder)) {
+                files.map(f -> f.getFileName().toString()).filter(n -> n.startsWith(PREFIX)).forEach(n -> add(out, n));
+            } catch (IOException e) {
+                return Set.of();
+            }
+        }
+        return out;
+    }
+
+    private static void add(Set<String> out, String name) {
+        try {
+            out.add(URLDecoder.decode(name.substring(PREFIX.length()), StandardCharsets.UTF_8));
+        } catch (IllegalArgumentException e) {
+            // Another's file: it names no node.
+            return;
+        }
+    }
+
+    /** Makes the folder if it is not there: whoever starts later can tell that a process has run here. */
+    public void create() throws IOException {
+        Files.createDirectories(folder);
+    }
+
+    /** Keeps that a node is out; throws where it can't be kept. */
+    public void begin(String node) throws IOException {
+        create();
+        try {
+            Files.createFile(file(node));
+        } catch (FileAlreadyExistsException e) {
+            return;
+        }
+    }
+
+    /** Forgets that a node is out; throws where it would be read again. */
+    public void end(String node) throws IOException {
+        Files.deleteIfExists(file(node));
+    }
+
+    private Path file(String node) {
+        return folder.resolve(PREFIX + URLEncoder.encode(node, StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/src/main/java/hopglade/store/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * What outlasts a process: files that the processes of one proxy share. Nothing here decides or knows a socket; a damaged or
+ * foreign file is passed over. Start reading at {@link hopglade.store.OutageFiles}.
+ */
+package hopglade.store;
--- /dev/null
+++ b/src/test/java/hopglade/proxy/HandoverTest.java
@@ -0,0 +1,196 @@
+package hopglade.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Real processes that take clients from one socket, which another holds: one replaces the other and no request is lost. */
+class HandoverTest {
+
+    /** Holds the listening socket, and starts a process with it as descriptor 0 for each line that it reads. */
+    private static final String HOLDER = """
+            use Socket; $| = 1; $SIG{CHLD} = "IGNORE";
+            socket(L, PF_INET, SOCK_STREAM, 0); bind(L, sockaddr_in(0, INADDR_LOOPBACK)); listen(L, 128);
+            my ($port) = sockaddr_in(getsockname(L)); print "$port\\n";
+            while (my $line = <STDIN>) {
+                chomp $line; my ($admin, $log, @run) = split /\\t/, $line;
+                my $pid = fork;
+                if (!$pid) {
+                    $ENV{BALANCER_ADMIN} = $admin; open(STDIN, "<&L"); open(STDOUT, ">", $log); open(STDERR, ">&STDOUT");
+                    exec @run;
+                }
+                print "$pid\\n";
+            }
+            """;
+    private static final int PATIENCE_S = 120;
+
+    @TempDir
+    Path temp;
+    private Process holder;
+    private BufferedReader said;
+    private InetSocketAddress front;
+    private final List<ProcessHandle> started = new ArrayList<>();
+
+    private void hold(Site site) throws Exception {
+        Path config = temp.resolve("config.json");
+        Files.writeString(config, "{\"name\":\"n0\",\"listen\":\"127.0.0.1:1\",\"discovery\":\"" + site.discovery.dial()
+                + "\",\"known\":" + Site.list(7, true, Site.host("c0", site.node.dial(), "up", 0)) + ",\"settings\":"
+                + Site.SETTINGS.formatted("automatic", "60000") + "}");
+        ProcessBuilder builder = new ProcessBuilder("perl", "-e", HOLDER).redirectErrorStream(true);
+        builder.environment().put("BALANCER_CONFIG", config.toString());
+        builder.environment().put("BALANCER_PASSED_SOCKET", "0");
+        builder.environment().put("TMPDIR", temp.toString());
+        holder = builder.start();
+        said = new BufferedReader(new InputStreamReader(holder.getInputStream(), StandardCharsets.US_ASCII));
+        front = new InetSocketAddress(InetAddress.getLoopbackAddress(), Integer.parseInt(said.readLine()));
+    }
+
+    /** Starts one more process and waits for its yes; the address that operators reach it at. */
+    private InetSocketAddress next() throws Exception {
+        int port;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        Path java = Path.of(System.getProperty("java.home"), "bin", "java");
+        String line = String.join("\t", "127.0.0.1:" + port, temp.resolve("log-" + started.size()).toString(), java.toString(),
+                "-cp", System.getProperty("java.class.path"), "hopglade.Main", "serve");
+        holder.getOutputStream().write((line + "\n").getBytes(StandardCharsets.UTF_8));
+        holder.getOutputStream().flush();
+        ProcessHandle process = ProcessHandle.of(Long.parseLong(said.readLine())).orElseThrow();
+        started.add(process);
+        InetSocketAddress admin = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+        while (process.isAlive() && call(admin, "GET /healthcheck") != 200) {
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+        assertTrue(process.isAlive(), Files.readString(temp.resolve("log-" + (started.size() - 1))));
+        return admin;
+    }
+
+    private static int call(InetSocketAddress admin, String line) {
+        try (Peer.Wire operator = Peer.connect(admin)) {
+            operator.write(line + " HTTP/1.1\r\nHost: a\r\n\r\n");
+            return Site.status(operator.read());
+        } catch (IOException e) {
+            return -1;
+        }
+    }
+
+    @AfterEach
+    void stop() {
+        started.forEach(ProcessHandle::destroyForcibly);
+        holder.destroyForcibly();
+    }
+
+    @Test
+    @Timeout(PATIENCE_S)
+    void eachOfManyClientsIsAnsweredWhileTheProcessIsReplacedTwice() throws Exception {
+        try (Site site = new Site()) {
+            hold(site);
+            Thread answering = new Thread(() -> answer(site), "node");
+            answering.setDaemon(true);
+            answering.start();
+            InetSocketAddress first = next();
+            AtomicInteger served = new AtomicInteger();
+            AtomicInteger lost = new AtomicInteger();
+            List<Thread> clients = new ArrayList<>();
+            for (int i = 0; i < 8; i++) {
+                int number = i;
+                clients.add(new Thread(() -> client(number, served, lost), "client"));
+            }
+            clients.forEach(Thread::start);
+            assertEquals(200, call(first, "POST /cache-nodes/c0/maint"));
+            assertEquals(200, call(first, "POST /cache-nodes/c0/ready"));
+            for (int upgrade = 0; upgrade < 2; upgrade++) {
+                ProcessHandle old = started.get(upgrade);
+                next();
+                old.destroy();
+                old.onExit().get(PATIENCE_S, TimeUnit.SECONDS);
+                int before = served.get();
+                while (served.get() < before + 50 && lost.get() == 0) {
+                    TimeUnit.MILLISECONDS.sleep(5);
+                }
+            }
+            clients.forEach(Thread::interrupt);
+            for (Thread client : clients) {
+                client.join();
+            }
+            assertEquals(0, lost.get(), "lost");
+            assertTrue(served.get() >= 100, "served " + served.get());
+            String log = Files.readString(temp.resolve("log-0"));
+            assertTrue(log.contains("handing_over") && log.contains("tally"), "the log outlasts the socket");
+        }
+    }
+
+    private static void answer(Site site) {
+        try {
+            while (true) {
+                Peer.Message message = site.node.await();
+                if (message.text() != null) {
+                    message.wire().answer(200, "v");
+                }
+            }
+        } catch (IOException | InterruptedException e) {
+            return;
+        }
+    }
+
+    /** Asks on one connection for as long as it stays, as a usual client does; any other end than an answer is a loss. */
+    private void client(int number, AtomicInteger served, AtomicInteger lost) {
+        Peer.Wire wire = null;
+        try {
+            for (int i = 0; !Thread.currentThread().isInterrupted(); i++) {
+                if (wire == null) {
+                    wire = Peer.connect(front);
+                }
+                wire.write("GET /api/k1 HTTP/1.1\r\nHost: s\r\nX-Call-Id: c" + number + "-" + i
+                        + "\r\nX-Call-Class: read\r\nX-Budget: 30\r\n\r\n");
+                String answer = wire.read();
+                (Site.status(answer) == 200 || Site.status(answer) == 503 ? served : lost).incrementAndGet();
+                if (answer == null || "close".equals(new Peer.Message(answer, wire).header("Connection"))) {
+                    wire.close();
+                    wire = null;
+                }
+            }
+        } catch (IOException e) {
+            lost.incrementAndGet();
+        }
+    }
+
+    @Test
+    @Timeout(PATIENCE_S)
+    void whatIsNoListeningSocketIsOnePlainMessage() throws Exception {
+        Path config = temp.resolve("config.json");
+        try (Site site = new Site()) {
+            hold(site);
+            ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+                    System.getProperty("java.class.path"), "hopglade.Main", "serve").redirectErrorStream(true);
+            builder.environment().put("BALANCER_CONFIG", config.toString());
+            for (String name : List.of("0", "5")) {
+                builder.environment().put("BALANCER_PASSED_SOCKET", name);
+                Process process = builder.start();
+                String text = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+                assertNotEquals(0, process.waitFor());
+                assertEquals(1, text.lines().count(), text);
+                assertTrue(text.contains("passed socket"), text);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/hopglade/proxy/OperationsTest.java
@@ -0,0 +1,172 @@
+package hopglade.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import hopglade.Decide;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The operators' address: what it answers, and that what it says yes to holds. */
+class OperationsTest {
+
+    private static final String MAINT = "POST /cache-nodes/c0/maint";
+    private static final String READY = "POST /cache-nodes/c0/ready";
+
+    @TempDir
+    Path temp;
+    private Site site;
+
+    @BeforeEach
+    void start() throws Exception {
+        site = new Site();
+        site.environment = Map.of("TMPDIR", temp.toString());
+        site.service = another();
+    }
+
+    /** One more process of the same proxy, as far as files go. */
+    private Service another() throws Exception {
+        Config config = site.config("automatic", "60000", "\"admin\":\"127.0.0.1:0\",");
+        return Service.start(config, new Decide(config.settings(), 7));
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        site.close();
+    }
+
+    private static String call(Service service, String line) throws IOException {
+        try (Peer.Wire operator = Peer.connect(service.adminListening())) {
+            operator.write(line + " HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
+            String answer = operator.read();
+            assertNull(operator.read(), "one call to a connection");
+            return answer;
+        }
+    }
+
+    private int status(String line) throws IOException {
+        return Site.status(call(site.service, line));
+    }
+
+    private int read(Service service) throws Exception {
+        try (Peer.Wire client = Peer.connect(service.listening())) {
+            client.write(site.get(1));
+            return Site.status(client.read());
+        }
+    }
+
+    private void nodeAnswers() throws Exception {
+        for (Peer.Message m = site.node.next(); true; m = site.node.next()) {
+            if (m.text() != null) {
+                m.wire().answer(200, "v");
+                return;
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "POST /cache-nodes/c0/maint, 200", "POST /cache-nodes/%630/maint, 200", "POST /cache-nodes/c1/maint, 404",
+        "POST /cache-nodes/%ff%00/maint, 404", "POST /cache-nodes//maint, 404", "POST /cache-nodes/c%zz/maint, 400",
+        "POST /cache-nodes/c0/out, 404", "GET /cache-nodes/c0/maint, 405", "POST /healthcheck, 405", "GET /healthcheck/ok, 405",
+        "GET /, 404", "GET /up, 404", "POST /healthcheck/ok, 200", "POST /healthcheck/fail, 200"})
+    @Timeout(Peer.PATIENCE_S)
+    void eachCallIsAnsweredAndARepeatGetsTheSame(String line, int expected) throws Exception {
+        assertEquals(expected, status(line));
+        assertEquals(expected, status(line));
+    }
+
+    @Test
+    @Timeout(Peer.PATIENCE_S)
+    void callersThatSayNothingOrHalfTakeNoPlaceFromThoseThatCall() throws Exception {
+        List<Peer.Wire> silent = new ArrayList<>();
+        for (int i = 0; i < 3 * hopglade.admin.AdminServer.PLACES; i++) {
+            silent.add(Peer.connect(site.service.adminListening()));
+            silent.get(i).write(i % 2 == 0 ? "" : "POST /cache-nodes/c0/ma");
+        }
+        assertEquals(200, status(MAINT));
+        assertNull(silent.get(0).read(), "the oldest went first");
+        for (Peer.Wire wire : silent) {
+            wire.close();
+        }
+    }
+
+    @Test
+    @Timeout(Peer.PATIENCE_S)
+    void aNodeIsOutInBothProcessesAndInTheNextUntilItIsPutBack() throws Exception {
+        Service other = another();
+        try {
+            assertEquals(200, status(MAINT));
+            while (read(other) != 503) {
+                nodeAnswers();
+            }
+            Service next = another();
+            assertEquals(503, read(next), "out from its start on");
+            next.kill();
+            assertEquals(200, Site.status(call(other, READY)));
+            Peer.Message sent = null;
+            while (sent == null || sent.text() == null) {
+                try (Peer.Wire client = site.client()) {
+                    client.write(site.get(1));
+                    assertTrue(Site.status(client.read()) > 0);
+                }
+                sent = site.node.heardNothing() ? null : site.node.next();
+            }
+        } finally {
+            other.kill();
+        }
+    }
+
+    @Test
+    @Timeout(Peer.PATIENCE_S)
+    void whatCannotBeKeptForTheNextProcessIsANoAndChangesNothing() throws Exception {
+        Path folder = temp.resolve("flintmill");
+        Files.delete(folder);
+        Files.writeString(folder, "no folder");
+        assertEquals(503, status(MAINT));
+        try (Peer.Wire client = site.client()) {
+            client.write(site.get(Site.LONG_S));
+            nodeAnswers();
+            assertEquals(200, Site.status(client.read()), "it serves on");
+        }
+    }
+
+    @Test
+    @Timeout(Peer.PATIENCE_S)
+    void aDrainEndsEachConnectionWithAnAnswerAndItsEndBringsClientsBack() throws Exception {
+        try (Peer.Wire served = site.client(); Peer.Wire idle = site.client(); Peer.Wire late = site.client()) {
+            for (Peer.Wire client : List.of(served, idle)) {
+                client.write(site.get(Site.LONG_S));
+                nodeAnswers();
+                assertEquals(200, Site.status(client.read()));
+            }
+            assertEquals(200, status("POST /healthcheck/fail"));
+            late.write("GET /up HTTP/1.1\r\nHost: s\r\n\r\n");
+            assertEquals(503, Site.status(late.read()));
+            served.write(site.get(Site.LONG_S));
+            nodeAnswers();
+            String answer = served.read();
+            assertEquals(200, Site.status(answer));
+            assertEquals("close", new Peer.Message(answer, served).header("Connection"));
+            assertNull(idle.read(), "an idle client is let go");
+        }
+        assertEquals(200, status("POST /healthcheck/ok"));
+        try (Peer.Wire back = site.client()) {
+            back.write("GET /up HTTP/1.1\r\nHost: s\r\n\r\n");
+            assertEquals(200, Site.status(back.read()));
+            assertTrue(call(site.service, "GET /healthcheck").endsWith("ready\n"));
+        }
+    }
+}
--- a/src/test/java/hopglade/proxy/Site.java
+++ b/src/test/java/hopglade/proxy/Site.java
@@ -21,6 +21,7 @@
     final Scripted router = new Scripted();
     Service service;
     int sockets = 256;
+    Map<String, String> environment = Map.of();
     private int calls;
 
     Site() throws IOException { }
@@ -39,7 +40,7 @@
         return Config.parse("{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery.dial() + "\","
                 + "\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + sockets + "}," + more
                 + "\"known\":" + list(7, true, host("c0", node.dial(), "up", 0)) + ",\"settings\":"
-                + SETTINGS.formatted(mode, idleMs) + "}", Map.of());
+                + SETTINGS.formatted(mode, idleMs) + "}", environment);
     }
 
     static String list(long seq, boolean whole, String... hosts) {
--- a/src/test/java/hopglade/proxy/WarmupTest.java
+++ b/src/test/java/hopglade/proxy/WarmupTest.java
@@ -14,7 +14,7 @@
     @Test
     void itsRequestsAreServedAndItEnds() throws Exception {
         try (Site site = new Site()) {
-            assertTrue(Warmup.run(site.config("automatic", "60000", "").settings(), null, null) > 0);
+            assertTrue(Warmup.run(site.config("automatic", "60000", "").settings(), null, null, false) > 0);
         }
     }
 
