Let messages of over 64 KiB flow both ways instead of refusing them

Cause: HttpObjectAggregator(65536) in NodePool.connect failed each longer answer, the one in ClientServer each longer body, and the stall timer gave up answers that came in pieces, as it ran from their first byte (channelReadComplete). Ruled out: overload, as the control level stayed 0 and fetches took 88 ms; the network, as no node closed a connection early.

Change: Gatherer puts messages together up to 64 KiB and hands longer ones on in parts; NodePool.Exchange ends as served with a long answer's head and passes on the rest; Upload carries a long body; both stop reading while the other side takes no more.

--- a/src/main/java/hopglade/Decide.java
+++ b/src/main/java/hopglade/Decide.java
@@ -840,7 +840,7 @@
      */
     private void countOverdue(double now) {
         for (Held r : requests.values()) {
-            if (r.out && !r.overdue && r.at == origin && now - r.sentAt > r.service.aimMs()) {
+            if (r.out && !r.overdue && r.at == origin && now - r.sentAt > r.service.aimMs() + r.in.uploadMs()) {
                 r.overdue = true;
                 control.count(false);
             }
@@ -946,7 +946,7 @@
             double budget = in.budgetMs() >= 0 ? in.budgetMs() : service.deadlineMs();
             this.draw = unit(hashText(in.id()));
             this.place = in.key() >= 0 ? in.key() : hashText(in.id());
-            this.guard = now + Math.max(0, budget - guardMs);
+            this.guard = now + in.uploadMs() + Math.max(0, budget - guardMs);
             this.patience = now + PATIENCE * Math.min(service.aimMs(), budget);
         }
 
--- a/src/main/java/hopglade/Router.java
+++ b/src/main/java/hopglade/Router.java
@@ -123,10 +123,18 @@
 
     /**
      * A client's request. {@code key} is negative where it names none; {@code workMs} is 0 without a hint;
-     * {@code budgetMs}, the time until the client gives up this try, is negative where only the class tells.
+     * {@code budgetMs}, the time until the client gives up this try, is negative where only the class tells. It begins
+     * with the request's last byte, which may take up to {@code uploadMs} more to come.
      */
     record Request(String id, String service, String tenant, long key, double workMs, double budgetMs,
-                   boolean write, boolean repeat) { }
+                   boolean write, boolean repeat, double uploadMs) {
+
+        /** A request that is here with its last byte. */
+        public Request(String id, String service, String tenant, long key, double workMs, double budgetMs, boolean write,
+                       boolean repeat) {
+            this(id, service, tenant, key, workMs, budgetMs, write, repeat, 0);
+        }
+    }
 
     /** How an attempt ended. {@code finished} says that the request has its final answer already. */
     record AttemptEnd(String request, int attempt, String node, Outcome outcome, double elapsedMs,
--- a/src/main/java/hopglade/proxy/ClientServer.java
+++ b/src/main/java/hopglade/proxy/ClientServer.java
@@ -7,6 +7,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -14,22 +15,30 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpMessage;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpContentException;
 import io.netty.util.ReferenceCountUtil;
 import java.math.BigDecimal;
@@ -50,18 +59,24 @@
 /** Takes clients' requests in and their answers out. What no node could make sense of is answered here. */
 final class ClientServer {
 
-    static final int MAX_BODY = 64 * 1024;
     private static final String API = "/api/";
     private static final Pattern ID = Pattern.compile("[0-9A-Za-z_-]{1,64}");
     /** A budget past this is a mistake, and as a timer would outlive the process. */
     private static final double MAX_BUDGET_S = 3600;
     private static final int MAX_WAITING = 16;
     /** How often the limits in time are looked at: one timer for all, as most connections never reach one. */
-    private static final long SWEEP_MS = 250;
-    /** How long a connection may say nothing at first, take for one request, or leave its answer unread. */
+    private static final long SWEEP_MS = 100;
+    /** How long a connection may say nothing at first. */
     private static final long SILENT_MS = 2000;
-    private static final long READING_MS = 2000;
-    private static final long UNREAD_MS = 3000;
+    /**
+     * A usual client takes 2 s for a head and then sends 64 kB a second, in bursts. One that sent nothing of use is owed an end
+     * 3 s after it came.
+     */
+    private static final long READING_MS = 2600;
+    private static final long LEAST_BYTES_PER_S = 48_000;
+    /** How long an answer may make no way at all to a client. */
+    private static final long UNREAD_MS = 5000;
+    private static final long STALLED_MS = 10_000;
     /** How long one that was served is kept for its next request: some clients ask once and stay for good. */
     private static final long IDLE_MS = 4000;
     /** How long, and for how many bytes, input is read on after an error: unread input would reset the error away. */
@@ -222,23 +237,37 @@
         }
     }
 
-    /** Puts requests together; one whose body is too long is told of by an exception, and its rest is dropped. */
-    private static final class Bodies extends HttpObjectAggregator {
-        Bodies() {
-            super(MAX_BODY);
+    /** Puts requests together; one whose body is longer than any may be is told of by an exception. */
+    private static final class Bodies extends Gatherer {
+        @Override
+        boolean begins(ChannelHandlerContext ctx, HttpMessage message) {
+            boolean may = super.begins(ctx, message);
+            if (may && HttpUtil.is100ContinueExpected(message)) {
+                ctx.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+            }
+            return may;
+        }
+
+        @Override
+        FullHttpMessage whole(HttpMessage head, CompositeByteBuf body, LastHttpContent last) {
+            HttpRequest request = (HttpRequest) head;
+            FullHttpRequest whole = new DefaultFullHttpRequest(request.protocolVersion(), request.method(), request.uri(), body,
+                    request.headers(), last.trailingHeaders());
+            whole.setDecoderResult(head.decoderResult());
+            return whole;
         }
 
         @Override
-        protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
-            ctx.fireExceptionCaught(new TooLongHttpContentException("body over " + MAX_BODY + " bytes"));
+        void tooLong(ChannelHandlerContext ctx) {
+            ctx.fireExceptionCaught(new TooLongHttpContentException("body over " + LONGEST + " bytes"));
         }
     }
 
     /** What a connection is doing; the limits in time go by it. */
-    private enum Phase { SILENT, READING, BUSY, IDLE, CLOSING }
+    private enum Phase { SILENT, READING, BUSY, FLOWING, IDLE, CLOSING }
 
     /** One client's connection: its requests are answered one at a time, in their order. */
-    private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> implements Proxy.Client {
+    private final class Connection extends SimpleChannelInboundHandler<HttpObject> implements Proxy.Client {
         private final Channel channel;
         private final Bytes bytes = new Bytes();
         private final Queue<Waiting> waiting = new ArrayDeque<>();
@@ -251,6 +280,15 @@
         private boolean kept;
         private String open;
         private boolean keepAlive;
+        private boolean speaksChunks;
+        /** The body that is coming in parts, and that of the request that is open; null where there is none. */
+        private Upload coming;
+        private Upload upload;
+        /** Bytes read since {@link #since}, and what was left to write when last looked at. */
+        private long received;
+        private long unwritten;
+        /** The long answer that is being passed on. */
+        private Flow flow;
 
         Connection(Channel channel) {
             this.channel = channel;
@@ -259,11 +297,16 @@
         private void enter(Phase next) {
             idle += (next == Phase.IDLE ? 1 : 0) - (phase == Phase.IDLE ? 1 : 0);
             phase = next;
+            restart();
+        }
+
+        private void restart() {
             since = System.nanoTime();
+            received = 0;
         }
 
         boolean busy() {
-            return phase == Phase.BUSY;
+            return phase == Phase.BUSY || phase == Phase.FLOWING;
         }
 
         void closeIfIdle() {
@@ -274,6 +317,9 @@
 
         /** A client that sends no end, reads no answer or just stays would hold its descriptor for good. */
         void sweep(long now) {
+            if (madeWay()) {
+                restart();
+            }
             long ms = TimeUnit.NANOSECONDS.toMillis(now - since);
             switch (phase) {
                 case SILENT -> closeAfter(ms, SILENT_MS);
@@ -281,11 +327,45 @@
                         : emptying || crowded() ? CROWDED_IDLE_MS : IDLE_MS);
                 case CLOSING -> closeAfter(ms, written != null && !written.isDone() ? UNREAD_MS : LINGER_MS);
                 case READING -> {
-                    if (ms >= READING_MS) {
+                    if (tooSlow(ms)) {
                         reject(HttpResponseStatus.REQUEST_TIMEOUT);
                     }
                 }
-                case BUSY -> { }
+                case BUSY -> {
+                    if (upload == null || !upload.waitsForClient()) {
+                        restart();
+                    } else if (tooSlow(ms)) {
+                        giveUp(HttpResponseStatus.REQUEST_TIMEOUT);
+                    }
+                }
+                case FLOWING -> closeAfter(ms, STALLED_MS);
+            }
+        }
+
+        private boolean tooSlow(long ms) {
+            return ms >= READING_MS && received < LEAST_BYTES_PER_S * (ms - READING_MS) / 1000;
+        }
+
+        /** Whether the client has taken something of what it is sent since this was last asked. */
+        private boolean madeWay() {
+            ChannelOutboundBuffer out = phase == Phase.BUSY || phase == Phase.READING || phase == Phase.SILENT ? null
+                    : channel.unsafe().outboundBuffer();
+            long before = unwritten;
+            unwritten = out == null ? 0 : out.totalPendingWriteBytes() - out.currentProgress();
+            return unwritten > 0 && unwritten != before;
+        }
+
+        /** Ends the request that is open: its client broke off, or is as good as gone. */
+        private void giveUp(HttpResponseStatus status) {
+            leave();
+            reject(status);
+        }
+
+        private void leave() {
+            if (open != null) {
+                String gone = open;
+                open = null;
+                proxy.clientGone(gone);
             }
         }
 
@@ -296,14 +376,37 @@
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+        protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
             if (phase == Phase.CLOSING) {
                 return;
             }
+            if (part instanceof HttpRequest request) {
+                coming = request instanceof FullHttpRequest ? null : new Upload(channel);
+                take(new Waiting(ReferenceCountUtil.retain(request), coming, System.nanoTime()));
+            } else if (coming != null) {
+                coming(((HttpContent) part).retain());
+            }
+        }
+
+        private void coming(HttpContent part) {
+            if (part.decoderResult().isFailure()) {
+                // Its body breaks off in nonsense: of what a node was sent, no last byte will come.
+                part.release();
+                giveUp(HttpResponseStatus.BAD_REQUEST);
+            } else {
+                coming.part(part);
+            }
+        }
+
+        private void take(Waiting request) {
             if (!busy()) {
-                handle(request, System.nanoTime());
+                try {
+                    handle(request.request(), request.upload(), request.arrived());
+                } finally {
+                    ReferenceCountUtil.release(request.request());
+                }
             } else {
-                waiting.add(new Waiting(request.retain(), System.nanoTime()));
+                waiting.add(request);
                 if (waiting.size() >= MAX_WAITING) {
                     // What it sends further waits on its side of the connection.
                     channel.config().setAutoRead(false);
@@ -311,8 +414,10 @@
             }
         }
 
-        private void handle(FullHttpRequest request, long arrived) {
+        private void handle(HttpRequest request, Upload body, long arrived) {
+            upload = body;
             keepAlive = HttpUtil.isKeepAlive(request);
+            speaksChunks = request.protocolVersion().isKeepAliveDefault();
             if (request.decoderResult().isFailure() || StrictHttp.oddCoding(request)) {
                 reject(HttpResponseStatus.BAD_REQUEST);
                 return;
@@ -331,7 +436,7 @@
             }
         }
 
-        private void call(FullHttpRequest in, String path, long arrived) {
+        private void call(HttpRequest in, String path, long arrived) {
             HttpHeaders headers = in.headers();
             String id = headers.get("X-Call-Id", "");
             ServiceClass service = classes.get(headers.get("X-Call-Class", ""));
@@ -349,12 +454,19 @@
             double waitedMs = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - arrived) / 1e3;
             Request request = new Request(id, service.name(), headers.get("X-Caller"), PathKey.of(path),
                     Math.max(0, number(headers.get("X-Call-Cost"), 0)) / 1000, Math.max(0, budgetS * 1000 - waitedMs),
-                    write, "1".equals(headers.get("X-Again")));
+                    write, "1".equals(headers.get("X-Again")), uploadMs(in));
             enter(Phase.BUSY);
             proven = true;
             open = id;
-            proxy.request(request, new Proxy.Payload(in.method(), in.uri(), ByteBufUtil.getBytes(in.content()),
-                    headers.get("Idempotency-Key"), headers.get(HttpHeaderNames.CONTENT_TYPE)), this);
+            byte[] body = in instanceof FullHttpRequest whole ? ByteBufUtil.getBytes(whole.content()) : new byte[0];
+            proxy.request(request, new Proxy.Payload(in.method(), in.uri(), body, headers.get("Idempotency-Key"),
+                    headers.get(HttpHeaderNames.CONTENT_TYPE), upload, HttpUtil.getContentLength(in, -1L)), this);
+        }
+
+        /** How long the rest of its body may take to come. */
+        private double uploadMs(HttpRequest in) {
+            long left = HttpUtil.getContentLength(in, Gatherer.LONGEST) - (upload == null ? 0 : upload.bytes());
+            return upload == null || upload.ended() ? 0 : READING_MS + 1000.0 * Math.max(0, left) / LEAST_BYTES_PER_S;
         }
 
         @Override
@@ -392,15 +504,33 @@
 
         private void answer(FullHttpResponse answer) {
             HttpUtil.setContentLength(answer, answer.content().readableBytes());
+            boolean unread = upload != null && !upload.ended();
+            boolean last = lasts(answer) || unread;
+            if (last) {
+                answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            }
+            ended(last, unread, channel.writeAndFlush(answer));
+        }
+
+        /** Whether this answer is its connection's last. */
+        private boolean lasts(HttpResponse answer) {
             // While clients wait to be accepted, a connection that is kept would keep one of them out.
             boolean last = stopped || emptying || draining && !kept || full || crowded() || !keepAlive;
             if (last) {
                 answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
+            return last;
+        }
+
+        /** The answer has been handed over to be written. What is still coming of its request is read on and dropped. */
+        private void ended(boolean last, boolean unread, ChannelFuture handedOver) {
             open = null;
             enter(last ? Phase.CLOSING : Phase.IDLE);
-            written = channel.writeAndFlush(answer);
-            if (last) {
+            written = handedOver;
+            if (unread) {
+                dropWaiting();
+                closeOurHalf();
+            } else if (last) {
                 written.addListener(ChannelFutureListener.CLOSE);
             } else {
                 // To the end of those that may be closed for room: it was the last to be used.
@@ -421,8 +551,15 @@
             answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             enter(Phase.CLOSING);
             dropWaiting();
+            if (upload != null) {
+                upload.drop();
+            }
             channel.config().setAutoRead(true);
             written = channel.writeAndFlush(answer);
+            closeOurHalf();
+        }
+
+        private void closeOurHalf() {
             written.addListener(f -> {
                 if (channel instanceof DuplexChannel halves) {
                     halves.shutdownOutput();
@@ -430,21 +567,77 @@
             });
         }
 
+        @Override
+        public NodePool.Rest flows(HttpResponse head, NodePool.Exchange exchange) {
+            HttpResponse answer = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+            String type = head.headers().get(HttpHeaderNames.CONTENT_TYPE);
+            if (type != null) {
+                answer.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
+            }
+            long length = HttpUtil.getContentLength(head, -1L);
+            if (length >= 0) {
+                HttpUtil.setContentLength(answer, length);
+            } else if (speaksChunks) {
+                HttpUtil.setTransferEncodingChunked(answer, true);
+            } else {
+                keepAlive = false;
+            }
+            open = null;
+            flow = new Flow(exchange, lasts(answer));
+            enter(Phase.FLOWING);
+            channel.writeAndFlush(answer);
+            return flow;
+        }
+
+        /** A long answer on its way to the client, no faster than the client reads it. */
+        private final class Flow implements NodePool.Rest {
+            private final NodePool.Exchange exchange;
+            private final boolean last;
+
+            Flow(NodePool.Exchange exchange, boolean last) {
+                this.exchange = exchange;
+                this.last = last;
+            }
+
+            @Override
+            public void part(HttpContent part) {
+                restart();
+                written = channel.writeAndFlush(part);
+                exchange.pause(!channel.isWritable());
+            }
+
+            @Override
+            public void ended(boolean whole) {
+                flow = null;
+                if (whole) {
+                    Connection.this.ended(last, upload != null && !upload.ended(), written);
+                } else {
+                    // The client can tell: neither the length nor the last chunk has come.
+                    channel.close();
+                }
+            }
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            if (flow != null) {
+                flow.exchange.pause(!channel.isWritable());
+            }
+        }
+
         private void next() {
             Waiting request = waiting.poll();
             if (request == null) {
                 return;
             }
-            channel.config().setAutoRead(true);
-            try {
-                handle(request.request(), request.arrived());
-            } finally {
-                request.request().release();
+            if (request.upload() == null) {
+                channel.config().setAutoRead(true);
             }
+            take(request);
         }
 
         private void dropWaiting() {
-            waiting.forEach(w -> w.request().release());
+            waiting.forEach(Waiting::drop);
             waiting.clear();
         }
 
@@ -453,10 +646,10 @@
             enter(Phase.CLOSING);
             closed(this);
             dropWaiting();
-            if (open != null) {
-                String gone = open;
-                open = null;
-                proxy.clientGone(gone);
+            leave();
+            if (flow != null) {
+                flow.exchange.cancel();
+                flow = null;
             }
         }
 
@@ -464,6 +657,8 @@
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             if (!(cause instanceof TooLongHttpContentException)) {
                 ctx.close();
+            } else if (phase == Phase.BUSY && upload != null && upload == coming) {
+                giveUp(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             } else if (!busy() && phase != Phase.CLOSING) {
                 reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             } else {
@@ -486,16 +681,27 @@
                     }
                     return;
                 }
-                if (phase == Phase.SILENT || phase == Phase.IDLE) {
+                if (phase == Phase.SILENT) {
+                    // Its time runs from when it came.
+                    phase = Phase.READING;
+                } else if (phase == Phase.IDLE) {
                     enter(Phase.READING);
                 }
+                received += message instanceof ByteBuf in ? in.readableBytes() : 0;
                 ctx.fireChannelRead(message);
             }
         }
     }
 
     /** A request that came while another was open on its connection, and when, as its time runs from then. */
-    private record Waiting(FullHttpRequest request, long arrived) { }
+    private record Waiting(HttpRequest request, Upload upload, long arrived) {
+        void drop() {
+            ReferenceCountUtil.release(request);
+            if (upload != null) {
+                upload.drop();
+            }
+        }
+    }
 
     private static String path(String uri) {
         int query = uri.indexOf('?');
--- /dev/null
+++ b/src/main/java/hopglade/proxy/Gatherer.java
@@ -0,0 +1,144 @@
+package hopglade.proxy;
+
+import io.netty.buffer.CompositeByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.FullHttpMessage;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+
+/**
+ * Puts messages of up to 64 KiB together and hands each on whole. Of a longer one it hands on the head as soon as it knows,
+ * and then the parts as they come; so no more than those 64 KiB are ever held for a connection.
+ */
+abstract class Gatherer extends ChannelInboundHandlerAdapter {
+
+    /** What is still gathered, and the longest message of all: peers may send 32 MB. */
+    static final int MOST_GATHERED = 64 * 1024;
+    static final long LONGEST = 33L << 20;
+
+    private HttpMessage head;
+    private CompositeByteBuf body;
+    private long bytes;
+    private boolean flows;
+    /** Of a message that was given up, the rest is dropped. */
+    private boolean drops;
+
+    /** A message and its body as one. */
+    abstract FullHttpMessage whole(HttpMessage head, CompositeByteBuf body, LastHttpContent last);
+
+    /** The head was read: whether the rest may come. */
+    boolean begins(ChannelHandlerContext ctx, HttpMessage message) {
+        return HttpUtil.getContentLength(message, 0L) <= LONGEST;
+    }
+
+    /** Longer than anyone may send. */
+    abstract void tooLong(ChannelHandlerContext ctx);
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        if (message instanceof FullHttpMessage) {
+            ctx.fireChannelRead(message);
+        } else if (message instanceof HttpMessage begun) {
+            head(ctx, begun);
+        } else if (message instanceof HttpContent part) {
+            part(ctx, part);
+        } else {
+            ctx.fireChannelRead(message);
+        }
+    }
+
+    private void head(ChannelHandlerContext ctx, HttpMessage message) {
+        head = message;
+        bytes = 0;
+        flows = false;
+        drops = !readable(message) || !begins(ctx, message);
+        if (message.decoderResult().isFailure()) {
+            ctx.fireChannelRead(whole(message, Unpooled.compositeBuffer(), LastHttpContent.EMPTY_LAST_CONTENT));
+        } else if (drops) {
+            tooLong(ctx);
+        } else if (HttpUtil.getContentLength(message, 0L) > MOST_GATHERED) {
+            flows = true;
+            ctx.fireChannelRead(message);
+        } else {
+            body = Unpooled.compositeBuffer(Integer.MAX_VALUE);
+        }
+    }
+
+    private static boolean readable(HttpMessage message) {
+        try {
+            HttpUtil.getContentLength(message, 0L);
+        } catch (NumberFormatException e) {
+            message.setDecoderResult(DecoderResult.failure(e));
+        }
+        return message.decoderResult().isSuccess();
+    }
+
+    private void part(ChannelHandlerContext ctx, HttpContent part) {
+        bytes += part.content().readableBytes();
+        if (part instanceof LastHttpContent last && !last.trailingHeaders().isEmpty()) {
+            // What they say belongs to the hop that they came by.
+            last.trailingHeaders().clear();
+        }
+        if (drops) {
+            part.release();
+        } else if (bytes > LONGEST) {
+            drops = true;
+            part.release();
+            tooLong(ctx);
+        } else if (flows) {
+            ctx.fireChannelRead(part);
+        } else if (part.decoderResult().isFailure()) {
+            drops = true;
+            head.setDecoderResult(part.decoderResult());
+            ctx.fireChannelRead(whole(head, taken(), LastHttpContent.EMPTY_LAST_CONTENT));
+            part.release();
+        } else if (part instanceof LastHttpContent last && bytes <= MOST_GATHERED) {
+            body.addComponent(true, part.content());
+            ctx.fireChannelRead(whole(head, taken(), last));
+        } else {
+            gather(ctx, part);
+        }
+    }
+
+    private void gather(ChannelHandlerContext ctx, HttpContent part) {
+        if (bytes <= MOST_GATHERED) {
+            body.addComponent(true, part.content());
+            return;
+        }
+        flows = true;
+        CompositeByteBuf first = taken();
+        ctx.fireChannelRead(head);
+        ctx.fireChannelRead(new DefaultHttpContent(first));
+        ctx.fireChannelRead(part);
+    }
+
+    private CompositeByteBuf taken() {
+        CompositeByteBuf taken = body;
+        body = null;
+        return taken;
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        release();
+        ctx.fireChannelInactive();
+    }
+
+    @Override
+    public void handlerRemoved(ChannelHandlerContext ctx) {
+        release();
+    }
+
+    private void release() {
+        ReferenceCountUtil.release(body);
+        body = null;
+        drops = true;
+    }
+}
--- a/src/main/java/hopglade/proxy/NodePool.java
+++ b/src/main/java/hopglade/proxy/NodePool.java
@@ -5,6 +5,7 @@
 import hopglade.Router.ServiceClass;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.CompositeByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -14,13 +15,23 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.PrematureChannelClosureException;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpMessage;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpContentException;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
@@ -67,6 +78,20 @@
     /** Takes how an exchange ended; {@code response} is null where no whole answer came and is released afterwards. */
     interface Done {
         void ended(Exchange exchange, Outcome outcome, FullHttpResponse response);
+
+        /** A good answer that is too long to be gathered has begun; null where nobody takes its rest. */
+        default Rest began(Exchange exchange, HttpResponse head) {
+            return null;
+        }
+    }
+
+    /** Takes the rest of a long answer. */
+    interface Rest {
+        /** A part, which this owns. */
+        void part(HttpContent part);
+
+        /** It has come to its end, or will not. */
+        void ended(boolean whole);
     }
 
     private final EventLoop loop;
@@ -182,7 +207,12 @@
      * write it to, so that the budget it names is what is left then.
      */
     Exchange send(String node, Supplier<FullHttpRequest> request, double timeoutMs, Done done) {
-        Exchange exchange = new Exchange(request, done);
+        return send(node, request, null, timeoutMs, done);
+    }
+
+    /** As above, with a body that flows behind the request's head; null where the request is whole. */
+    Exchange send(String node, Supplier<? extends HttpRequest> request, Upload upload, double timeoutMs, Done done) {
+        Exchange exchange = new Exchange(request, upload, done);
         exchange.timer = loop.schedule(exchange::timedOut, (long) (timeoutMs * 1e6), TimeUnit.NANOSECONDS);
         Target target = targets.get(node);
         if (target == null) {
@@ -284,7 +314,7 @@
             @Override
             protected void initChannel(Channel channel) {
                 channel.pipeline().addLast(new HttpRequestEncoder(), connection.bytes, connection.decoder,
-                        new HttpObjectAggregator(ClientServer.MAX_BODY), connection);
+                        new Answers(), connection);
             }
         }).connect(target.dial);
         exchange.channel = connecting.channel();
@@ -353,8 +383,11 @@
 
     /** One request to one node and its one outcome. */
     final class Exchange {
-        private final Supplier<FullHttpRequest> request;
+        private final Supplier<? extends HttpRequest> request;
+        private final Upload upload;
         private final Done done;
+        /** Who takes the rest of a long answer; null where there is none, or none is left. */
+        private Rest rest;
         private Channel channel;
         private Future<?> timer;
         private boolean written;
@@ -363,14 +396,66 @@
         private double idleMs;
         private boolean answering;
 
-        private Exchange(Supplier<FullHttpRequest> request, Done done) {
+        private Exchange(Supplier<? extends HttpRequest> request, Upload upload, Done done) {
             this.request = request;
+            this.upload = upload;
             this.done = done;
         }
 
         /** Gives it up. The connection goes too: its answer may still come and would be taken for another's. */
         void cancel() {
             abandon(Outcome.CANCELLED);
+            if (rest != null) {
+                rest = null;
+                channel.close();
+            }
+        }
+
+        /** Stops reading a long answer, or reads on. */
+        void pause(boolean pauses) {
+            if (rest != null) {
+                channel.config().setAutoRead(!pauses);
+            }
+        }
+
+        /** Gives it up after so long from now, as the time of a request whose body flows begins with its last byte. */
+        void limit(double timeoutMs) {
+            if (!over) {
+                timer.cancel(false);
+                timer = loop.schedule(this::timedOut, (long) (Math.max(0, timeoutMs) * 1e6), TimeUnit.NANOSECONDS);
+            }
+        }
+
+        private void begin(HttpResponse head) {
+            over = true;
+            timer.cancel(false);
+            ages.used(idleMs, false, nanos.getAsLong());
+            rest = done.began(this, head);
+        }
+
+        private void part(HttpContent part) {
+            boolean last = part instanceof LastHttpContent;
+            boolean broken = part.decoderResult().isFailure();
+            if (broken) {
+                part.release();
+                cutShort();
+            } else {
+                Rest taker = rest;
+                rest = last ? null : taker;
+                taker.part(part);
+                if (last) {
+                    taker.ended(true);
+                }
+            }
+        }
+
+        /** The rest of a long answer will not come. */
+        private void cutShort() {
+            Rest taker = rest;
+            rest = null;
+            if (taker != null) {
+                taker.ended(false);
+            }
         }
 
         private void timedOut() {
@@ -428,7 +513,7 @@
     }
 
     /** One connection to a host. */
-    private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
         private final Target target;
         private final StrictHttp.Responses decoder = new StrictHttp.Responses();
         private final Bytes bytes = new Bytes();
@@ -438,6 +523,10 @@
         private FullHttpResponse answer;
         private boolean more;
         private int begun;
+        /** When its latest bytes came. */
+        private long lastFlowed;
+        /** Whether the long answer that flows on it leaves it open. */
+        private boolean keeps;
         private Future<?> stallTimer;
         private long idleSince;
         private boolean used;
@@ -463,13 +552,23 @@
             exchange.channel = context.channel();
             // The promise covers head and body: it fails if the connection breaks before the last byte is written.
             context.writeAndFlush(exchange.request.get()).addListener(f -> {
-                if (f.isSuccess()) {
-                    exchange.written = true;
-                } else {
+                if (!f.isSuccess()) {
                     context.close();
                     exchange.broken();
+                } else if (exchange.upload == null) {
+                    exchange.written = true;
                 }
             });
+            if (exchange.upload != null) {
+                exchange.upload.take(context.channel(), () -> exchange.written = true);
+            }
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            if (current != null && current.upload != null) {
+                current.upload.flow();
+            }
         }
 
         double idleMs(long now) {
@@ -478,7 +577,7 @@
 
         /** Whether bytes that have come can belong to the answer that is awaited. */
         private boolean expected(ByteBuf in) {
-            if (current == null || current.over || !current.written) {
+            if (current == null || current.over && current.rest == null || !current.written && current.upload == null) {
                 return false;
             }
             for (int i = in.readerIndex(); begun < START.length && i < in.writerIndex(); i++, begun++) {
@@ -491,14 +590,59 @@
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+        protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
+            if (part instanceof FullHttpResponse response) {
+                whole(ctx, response);
+            } else if (part instanceof HttpResponse head) {
+                begin(ctx, head);
+            } else if (current != null && current.rest != null) {
+                flow((HttpContent) ReferenceCountUtil.retain(part));
+            }
+        }
+
+        /** A long answer: what is not good would be passed on in vain, and of one by far too long the rest never ends. */
+        private void begin(ChannelHandlerContext ctx, HttpResponse head) {
+            if (current == null || answer != null) {
+                more = true;
+            } else if (outcome(head) != Outcome.OK || !tellsItsEnd(head)) {
+                fail(ctx, null);
+            } else {
+                stopStallTimer();
+                keeps = HttpUtil.isKeepAlive(head);
+                current.begin(head);
+                if (current.rest == null) {
+                    ctx.close();
+                }
+            }
+        }
+
+        private void flow(HttpContent part) {
+            Exchange exchange = current;
+            lastFlowed = nanos.getAsLong();
+            boolean last = part instanceof LastHttpContent && !part.decoderResult().isFailure();
+            if (last) {
+                current = null;
+                release(exchange, keeps && context.channel().isActive());
+                if (!answered && tried) {
+                    target.table.tookOne();
+                }
+                answered = true;
+            }
+            exchange.part(part);
+            if (!last && exchange.rest == null) {
+                current = null;
+                context.close();
+            }
+        }
+
+        private void whole(ChannelHandlerContext ctx, FullHttpResponse response) {
             if (current == null || answer != null) {
                 more = true;
             } else if (response.decoderResult().isFailure()) {
                 fail(ctx, response.decoderResult().cause());
             } else if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
                 begun = 0;
-            } else if (!ctx.channel().isActive()) {
+            } else if (!ctx.channel().isActive() && !saidToClose(response)) {
                 // Nothing but the end of the connection ended it, so nobody can tell whether it is whole.
                 current.broken();
             } else {
@@ -510,14 +654,30 @@
         public void channelReadComplete(ChannelHandlerContext ctx) {
             if (answer != null) {
                 finish();
-            } else if (current != null && begun > 0 && stallTimer == null) {
-                Exchange stalled = current;
-                stallTimer = loop.schedule(() -> {
-                    stallTimer = null;
-                    if (current == stalled && begun > 0) {
-                        fail(ctx, null);
-                    }
-                }, (long) (stallMs * 1e6), TimeUnit.NANOSECONDS);
+            } else if (current != null && begun > 0 && current.rest == null && stallTimer == null) {
+                watchStall(ctx, current, stallMs);
+            }
+        }
+
+        /** An answer that comes on in pieces is waited for; one that has stopped is not. */
+        private void watchStall(ChannelHandlerContext ctx, Exchange watched, double waitMs) {
+            stallTimer = loop.schedule(() -> {
+                stallTimer = null;
+                double quietMs = (nanos.getAsLong() - lastFlowed) / 1e6;
+                if (current != watched || begun == 0 || watched.rest != null) {
+                    return;
+                } else if (quietMs >= stallMs) {
+                    fail(ctx, null);
+                } else {
+                    watchStall(ctx, watched, stallMs - quietMs);
+                }
+            }, (long) (waitMs * 1e6), TimeUnit.NANOSECONDS);
+        }
+
+        private void stopStallTimer() {
+            if (stallTimer != null) {
+                stallTimer.cancel(false);
+                stallTimer = null;
             }
         }
 
@@ -527,15 +687,8 @@
             Exchange exchange = current;
             answer = null;
             current = null;
-            if (stallTimer != null) {
-                stallTimer.cancel(false);
-                stallTimer = null;
-            }
-            if (!more && !decoder.leftOver() && HttpUtil.isKeepAlive(response) && target.current) {
-                rest();
-            } else {
-                context.close();
-            }
+            stopStallTimer();
+            release(exchange, !more && HttpUtil.isKeepAlive(response));
             Outcome outcome = outcome(response);
             if (!answered && outcome == Outcome.REJECTED && !HttpUtil.isKeepAlive(response)) {
                 // A new connection that is closed again unheard: the node's table is full, whatever its cores do.
@@ -552,10 +705,18 @@
             }
         }
 
-        private void rest() {
-            idleSince = nanos.getAsLong();
-            resting.addLast(this);
-            watchRests();
+        /** Keeps the connection for another exchange if it may be, and if all was read and written on it that was due. */
+        private void release(Exchange done, boolean mayKeep) {
+            // The last part may have come while the connection was held back for its reader.
+            context.channel().config().setAutoRead(true);
+            boolean sent = done.upload == null || done.written;
+            if (mayKeep && sent && !decoder.leftOver() && target.current) {
+                idleSince = nanos.getAsLong();
+                resting.addLast(this);
+                watchRests();
+            } else {
+                context.close();
+            }
         }
 
         private void rested() {
@@ -579,6 +740,7 @@
             if (answer != null) {
                 finish();
             } else if (current != null) {
+                current.cutShort();
                 current.broken();
             }
         }
@@ -594,7 +756,9 @@
             if (answer != null) {
                 more = true;
                 finish();
-            } else if (current != null && !broke && current.written) {
+            } else if (current != null && current.rest != null) {
+                current.cutShort();
+            } else if (current != null && !broke && (current.written || current.answering)) {
                 current.end(Outcome.ERROR, null);
             } else if (current != null) {
                 current.broken();
@@ -616,13 +780,41 @@
                     in.release();
                     fail(context, null);
                 } else {
+                    lastFlowed = nanos.getAsLong();
                     ctx.fireChannelRead(message);
                 }
             }
         }
     }
 
-    private static Outcome outcome(FullHttpResponse response) {
+    /** Puts answers together; one that is longer than any may be makes no sense. */
+    private static final class Answers extends Gatherer {
+        @Override
+        FullHttpMessage whole(HttpMessage head, CompositeByteBuf body, LastHttpContent last) {
+            HttpResponse response = (HttpResponse) head;
+            FullHttpResponse whole = new DefaultFullHttpResponse(response.protocolVersion(), response.status(), body,
+                    response.headers(), last.trailingHeaders());
+            whole.setDecoderResult(head.decoderResult());
+            return whole;
+        }
+
+        @Override
+        void tooLong(ChannelHandlerContext ctx) {
+            ctx.fireExceptionCaught(new TooLongHttpContentException("an answer of over " + LONGEST + " bytes"));
+        }
+    }
+
+    /** Whether the end of an answer can be told from its being cut off, as far as a connection's end can tell it. */
+    private static boolean tellsItsEnd(HttpResponse response) {
+        return HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response) || saidToClose(response);
+    }
+
+    /** Whether an answer that names no length said that its connection's end would be its own. */
+    private static boolean saidToClose(HttpResponse response) {
+        return response.headers().contains(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true);
+    }
+
+    private static Outcome outcome(HttpResponse response) {
         HttpResponseStatus status = response.status();
         return switch (status.code()) {
             case 200 -> Outcome.OK;
--- a/src/main/java/hopglade/proxy/Proxy.java
+++ b/src/main/java/hopglade/proxy/Proxy.java
@@ -10,10 +10,13 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.math.BigDecimal;
 import java.util.ArrayDeque;
@@ -45,6 +48,11 @@
         void refused(double retryAfterMs);
 
         void failed();
+
+        /** A long answer begins; the request is over with it, and the client's side has what follows. */
+        default NodePool.Rest flows(HttpResponse head, NodePool.Exchange exchange) {
+            return null;
+        }
     }
 
     /** Who shares with other proxies what this one sees of the nodes; told of it on the event loop. */
@@ -58,8 +66,11 @@
         void probed(String node, Outcome outcome);
     }
 
-    /** A request as it goes on to nodes. {@code key} and {@code contentType} are null where it has none. */
-    record Payload(HttpMethod method, String uri, byte[] body, String key, String contentType) { }
+    /**
+     * A request as it goes on to nodes. {@code key} and {@code contentType} are null where it has none. Of one that is too
+     * long to be gathered {@code body} is empty, {@code upload} has it, and {@code length} says how long it is, or is negative.
+     */
+    record Payload(HttpMethod method, String uri, byte[] body, String key, String contentType, Upload upload, long length) { }
 
     /** Counts for the log. Fetches are counted apart: an origin that falters shows in nothing else as soon. */
     static final class Tally {
@@ -208,14 +219,32 @@
             client.refused(0);
             return;
         }
-        Call call = new Call(in, payload, client, clock.now() + in.budgetMs());
+        Call call = new Call(in, payload, client, clock.now() + in.uploadMs() + in.budgetMs());
         calls.put(in.id(), call);
         owed++;
         call.backstop = loop.schedule(() -> overdue(call),
                 clock.nanosUntil(call.deadline + settings.rules().answerSlackMs()), TimeUnit.NANOSECONDS);
+        if (payload.upload() != null) {
+            payload.upload().whenEnded(() -> bodyEnded(call));
+        }
         tell(now -> router.request(now, in, this), () -> answerInstead(call));
     }
 
+    /** The client's time runs from here; the module knows no closer end of it than the latest, so this side keeps it. */
+    private void bodyEnded(Call call) {
+        if (call.over) {
+            return;
+        }
+        call.bodyEnded = clock.now();
+        call.deadline = call.bodyEnded + call.in.budgetMs();
+        double last = call.deadline - 2 * settings.tickMs();
+        call.backstop.cancel(false);
+        call.backstop = loop.schedule(() -> overdue(call), clock.nanosUntil(last), TimeUnit.NANOSECONDS);
+        if (call.out != null && call.out.exchange != null) {
+            call.out.exchange.limit(last - call.bodyEnded);
+        }
+    }
+
     void clientGone(String id) {
         Call call = calls.get(id);
         if (call != null && !call.over) {
@@ -238,10 +267,32 @@
             settle(call);
             call.client.served(response);
         }
+        told(call, attempt, node, outcome, clock.now() - Math.max(sentAt, call.bodyEnded), note(response));
+    }
+
+    private void told(Call call, int attempt, String node, Outcome outcome, double elapsedMs, int note) {
         if (watch != null && !node.equals(origin)) {
-            watch.ended(node, outcome, clock.now() - sentAt);
+            watch.ended(node, outcome, elapsedMs);
         }
-        report(call.in.id(), call, attempt, node, outcome, clock.now() - sentAt, note(response));
+        report(call.in.id(), call, attempt, node, outcome, elapsedMs, note);
+    }
+
+    /**
+     * A long answer has begun: all that can be decided on the request has been, as it can't be made elsewhere any more. The
+     * module is told that it was answered, after the time until its first bytes.
+     */
+    private NodePool.Rest began(Call call, int attempt, String node, double sentAt, NodePool.Exchange exchange, HttpResponse head) {
+        call.out = null;
+        call.last = Outcome.OK;
+        count(node, Outcome.OK);
+        NodePool.Rest rest = null;
+        if (!call.over) {
+            tally.served++;
+            settle(call);
+            rest = call.client.flows(head, exchange);
+        }
+        told(call, attempt, node, Outcome.OK, clock.now() - Math.max(sentAt, call.bodyEnded), note(head));
+        return rest;
     }
 
     private void count(String node, Outcome outcome) {
@@ -417,6 +468,9 @@
 
     private void settle(Call call) {
         call.over = true;
+        if (call.payload.upload() != null) {
+            call.payload.upload().drop();
+        }
         owed--;
         call.backstop.cancel(false);
         forgetIfDone(call);
@@ -441,7 +495,7 @@
         double wait = timeoutMs == UNTIL_DEADLINE ? left : Math.min(timeoutMs, left);
         // Nothing goes out for a request that is over or late, past the attempts allowed, or beside another of its own.
         if (call == null || call.over || call.out != null || wait <= 0
-                || attempt >= settings.limits().maxAttempts()) {
+                || attempt >= settings.limits().maxAttempts() || call.isUsedUp()) {
             count(node, Outcome.NEVER_SENT);
             report(request, call, attempt, node, Outcome.NEVER_SENT, 0, 0);
             return;
@@ -452,11 +506,23 @@
         if (watch != null && !node.equals(origin)) {
             watch.sent(node);
         }
-        out.exchange = pool.send(node, () -> call.toNode(giveUp - clock.now()), wait,
-                (exchange, outcome, response) -> ended(call, attempt, node, now, outcome, response));
+        Upload upload = call.payload.upload();
+        // The time of a body that is still coming is its client's.
+        double limit = upload == null ? wait : left;
+        out.exchange = pool.send(node, () -> call.toNode(upload == null ? giveUp - clock.now() : call.in.budgetMs()), upload, limit, new NodePool.Done() {
+            @Override
+            public void ended(NodePool.Exchange exchange, Outcome outcome, FullHttpResponse response) {
+                Proxy.this.ended(call, attempt, node, now, outcome, response);
+            }
+
+            @Override
+            public NodePool.Rest began(NodePool.Exchange exchange, HttpResponse head) {
+                return Proxy.this.began(call, attempt, node, now, exchange, head);
+            }
+        });
     }
 
-    private static int note(FullHttpResponse response) {
+    private static int note(HttpResponse response) {
         return switch (response == null ? "" : response.headers().get("X-Hit", "")) {
             case "hit" -> 1;
             case "miss" -> 2;
@@ -493,7 +559,9 @@
         final Request in;
         final Payload payload;
         final Client client;
-        final double deadline;
+        double deadline;
+        /** When the last byte of its body came, where that flows. */
+        double bodyEnded;
         Future<?> backstop;
         Attempt out;
         int attempts;
@@ -509,9 +577,16 @@
             this.deadline = deadline;
         }
 
-        FullHttpRequest toNode(double budgetMs) {
-            FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, payload.method(),
-                    payload.uri(), Unpooled.wrappedBuffer(payload.body()));
+        /** Whether its body has gone to a node already: there is nothing left to send again. */
+        boolean isUsedUp() {
+            return payload.upload() != null && payload.upload().taken();
+        }
+
+        HttpRequest toNode(double budgetMs) {
+            HttpRequest request = payload.upload() != null
+                    ? new DefaultHttpRequest(HttpVersion.HTTP_1_1, payload.method(), payload.uri())
+                    : new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, payload.method(), payload.uri(),
+                            Unpooled.wrappedBuffer(payload.body()));
             request.headers().set(HttpHeaderNames.HOST, "service.internal").set("X-Call-Id", in.id())
                     .set("X-Budget", BigDecimal.valueOf(Math.max(1, Math.round(budgetMs)), 3).toPlainString());
             if (payload.key() != null) {
@@ -520,7 +595,11 @@
             if (payload.contentType() != null) {
                 request.headers().set(HttpHeaderNames.CONTENT_TYPE, payload.contentType());
             }
-            if (payload.body().length > 0 || payload.method().equals(HttpMethod.PUT)) {
+            if (payload.upload() != null && payload.length() < 0) {
+                HttpUtil.setTransferEncodingChunked(request, true);
+            } else if (payload.upload() != null) {
+                HttpUtil.setContentLength(request, payload.length());
+            } else if (payload.body().length > 0 || payload.method().equals(HttpMethod.PUT)) {
                 request.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, payload.body().length);
             }
             return request;
--- a/src/main/java/hopglade/proxy/Transport.java
+++ b/src/main/java/hopglade/proxy/Transport.java
@@ -2,9 +2,11 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.local.LocalChannel;
 import io.netty.channel.local.LocalServerChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -22,7 +24,8 @@
 
         @Override
         Bootstrap client(EventLoop loop) {
-            return new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true);
+            return new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+                    .option(ChannelOption.WRITE_BUFFER_WATER_MARK, UNWRITTEN).option(ChannelOption.RECVBUF_ALLOCATOR, reads());
         }
     },
     IN_PROCESS {
@@ -38,6 +41,17 @@
     };
 
     private static final int BACKLOG = 1024;
+    /**
+     * What a connection may hold of a long message: so much that is not written yet, and one read more. Clients' connections
+     * times the two bound what all long messages hold at once.
+     */
+    private static final WriteBufferWaterMark UNWRITTEN = new WriteBufferWaterMark(16 * 1024, 32 * 1024);
+    private static final int MOST_READ = 16 * 1024;
+    private static final int USUAL_READ = 2048;
+
+    private static AdaptiveRecvByteBufAllocator reads() {
+        return new AdaptiveRecvByteBufAllocator(64, USUAL_READ, MOST_READ);
+    }
 
     /** Takes connections from a socket that another has bound; it is registered as it is. */
     static ServerBootstrap server(EventLoop loop, ServerSocketChannel passed) {
@@ -45,7 +59,9 @@
     }
 
     private static ServerBootstrap accepting(EventLoop loop, ChannelFactory<NioServerSocketChannel> listener) {
-        return new ServerBootstrap().group(loop).channelFactory(listener).childOption(ChannelOption.TCP_NODELAY, true);
+        return new ServerBootstrap().group(loop).channelFactory(listener).childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, UNWRITTEN)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, reads());
     }
 
     abstract ServerBootstrap server(EventLoop loop);
--- a/src/main/java/hopglade/proxy/Warmup.java
+++ b/src/main/java/hopglade/proxy/Warmup.java
@@ -189,7 +189,7 @@
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(ClientServer.MAX_BODY),
+                        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(Gatherer.MOST_GATHERED),
                                 new Answers(origin));
                     }
                 }).bind(address).sync();
@@ -205,7 +205,7 @@
         Transport.IN_PROCESS.client(loop).handler(new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(ClientServer.MAX_BODY),
+                channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(Gatherer.MOST_GATHERED),
                         new Asks());
             }
         }).connect(front);
