Keep over an upgrade that the operators have drained the proxy

Need: a proxy that is drained and then replaced has to stay drained until the operators say otherwise; the new process answered yes at /up. Change: the drain is a file beside those of the nodes that are out, read and looked after in the same way (OutageFiles.drain, Operations.look), and apart from the state of a process that hands over (ClientServer.emptied, handedOver), so that the end of one drain can't end the other. GET /healthcheck stays yes meanwhile: the process can serve.

Test: OperationsTest starts one more process while the first is drained.

--- a/src/main/java/hopglade/Decide.java
+++ b/src/main/java/hopglade/Decide.java
@@ -168,7 +168,9 @@
     static final double UNSEEN = 0.25;
     /** Pairs a hot key is given, for each node's worth of our requests that ask for it. */
     static final double HOT_SPREAD = 2;
-    /** How long a node back from an outage waits for a key of its own; then it gets the next read, and a miss. */
+    /**
+     * How long a node back from an outage waits for a key of its own; then it gets the next read, and a miss.
+     */
     static final double BACK_IN_USE_MS = 2000;
 
     private final Settings settings;
--- a/src/main/java/hopglade/proxy/ClientServer.java
+++ b/src/main/java/hopglade/proxy/ClientServer.java
@@ -102,7 +102,8 @@
     private boolean full;
     private int idle;
     private boolean draining;
-    private boolean emptying;
+    private boolean emptied;
+    private boolean handedOver;
     /** Whether other processes listen on the same socket. */
     private boolean shared;
     private boolean stopped;
@@ -175,17 +176,21 @@
      * so those that were served before are not kept either.
      */
     void empty(boolean begins) {
-        emptying = begins;
+        emptied = begins;
     }
 
-    boolean isEmptying() {
-        return emptying;
+    boolean isEmptied() {
+        return emptied;
+    }
+
+    private boolean emptying() {
+        return emptied || handedOver;
     }
 
     /** Another process takes the clients from now on; what this one accepted it answers, each connection once more. */
     void handOver() {
         draining = true;
-        emptying = true;
+        handedOver = true;
         accept(false);
     }
 
@@ -233,7 +238,7 @@
         connections.remove(connection);
         if (full && connections.size() < maxConnections) {
             full = false;
-            accept(!shared || !draining);
+            accept(!handedOver);
         }
     }
 
@@ -324,7 +329,7 @@
             switch (phase) {
                 case SILENT -> closeAfter(ms, SILENT_MS);
                 case IDLE -> closeAfter(ms, written != null && !written.isDone() ? UNREAD_MS
-                        : emptying || crowded() ? CROWDED_IDLE_MS : IDLE_MS);
+                        : emptying() || crowded() ? CROWDED_IDLE_MS : IDLE_MS);
                 case CLOSING -> closeAfter(ms, written != null && !written.isDone() ? UNREAD_MS : LINGER_MS);
                 case READING -> {
                     if (tooSlow(ms)) {
@@ -430,7 +435,7 @@
             } else if (!method.equals(HttpMethod.GET) && !(api && method.equals(HttpMethod.PUT))) {
                 reject(HttpResponseStatus.METHOD_NOT_ALLOWED);
             } else if (!api) {
-                answer(isReady() && !emptying ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE);
+                answer(isReady() && !emptied ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE);
             } else {
                 call(request, path, arrived);
             }
@@ -515,7 +520,7 @@
         /** Whether this answer is its connection's last. */
         private boolean lasts(HttpResponse answer) {
             // While clients wait to be accepted, a connection that is kept would keep one of them out.
-            boolean last = stopped || emptying || draining && !kept || full || crowded() || !keepAlive;
+            boolean last = stopped || emptying() || draining && !kept || full || crowded() || !keepAlive;
             if (last) {
                 answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
--- a/src/main/java/hopglade/proxy/Operations.java
+++ b/src/main/java/hopglade/proxy/Operations.java
@@ -73,12 +73,20 @@
                 taken(node, true);
             }
         }
+        if (files.isDrained() != clients.isEmptied()) {
+            drained(!clients.isEmptied());
+        }
         List.copyOf(out).stream().filter(n -> !kept.contains(n)).forEach(n -> {
             proxy.maintain(n, false);
             taken(n, false);
         });
     }
 
+    private void drained(boolean begins) {
+        Log.event(begins ? "emptying" : "filling", "clients", clients.connections());
+        clients.empty(begins);
+    }
+
     private void taken(String node, boolean begins) {
         if (begins ? out.add(node) : out.remove(node)) {
             Log.event("maintenance", "node", node, "out", begins, "all_out", out.size());
@@ -87,7 +95,7 @@
 
     @Override
     public Reply health() {
-        return clients.isReady() ? Reply.yes(clients.isEmptying() ? "ready; drained by an operator" : "ready")
+        return clients.isReady() ? Reply.yes(clients.isEmptied() ? "ready; drained by an operator" : "ready")
                 : Reply.no(open ? "not ready: waiting for discovery, or ending" : "starting");
     }
 
@@ -129,10 +137,17 @@
         if (!open) {
             return Reply.no("starting");
         }
-        if (begins != clients.isEmptying()) {
-            Log.event(begins ? "emptying" : "filling", "clients", clients.connections());
+        try {
+            if (files != null) {
+                files.drain(begins);
+            }
+        } catch (IOException e) {
+            // This process can do without; the next one would serve, or stay empty, against this call.
+            Log.error("drain_not_kept", e);
+        }
+        if (begins != clients.isEmptied()) {
+            drained(begins);
         }
-        clients.empty(begins);
         return Reply.yes(begins ? "emptying: /up says no, each answer ends its connection" : "serving: /up says yes");
     }
 }
--- a/src/main/java/hopglade/store/OutageFiles.java
+++ b/src/main/java/hopglade/store/OutageFiles.java
@@ -12,12 +12,13 @@
 import java.util.stream.Stream;
 
 /**
- * The nodes that are out, as one empty file for each: the old and the new process of an upgrade see one another's, a change
+ * The nodes that are out, and whether the proxy is drained, as one empty file for each: the old and the new process of an upgrade see one another's, a change
  * of one is whole or not made, and none can undo another's. Its name says all, so there is nothing in it to be damaged.
  */
 public final class OutageFiles {
 
     private static final String PREFIX = "out-";
+    private static final String DRAINED = "drained";
 
     private final Path folder;
 
@@ -54,12 +55,7 @@
 
     /** Keeps that a node is out; throws where it can't be kept. */
     public void begin(String node) throws IOException {
-        create();
-        try {
-            Files.createFile(file(node));
-        } catch (FileAlreadyExistsException e) {
-            return;
-        }
+        mark(file(node));
     }
 
     /** Forgets that a node is out; throws where it would be read again. */
@@ -67,6 +63,28 @@
         Files.deleteIfExists(file(node));
     }
 
+    /** Keeps that the operators empty the proxy, or that this is over. */
+    public void drain(boolean begins) throws IOException {
+        if (begins) {
+            mark(folder.resolve(DRAINED));
+        } else {
+            Files.deleteIfExists(folder.resolve(DRAINED));
+        }
+    }
+
+    public boolean isDrained() {
+        return Files.exists(folder.resolve(DRAINED));
+    }
+
+    private void mark(Path file) throws IOException {
+        create();
+        try {
+            Files.createFile(file);
+        } catch (FileAlreadyExistsException e) {
+            return;
+        }
+    }
+
     private Path file(String node) {
         return folder.resolve(PREFIX + URLEncoder.encode(node, StandardCharsets.UTF_8));
     }
--- a/src/test/java/hopglade/proxy/OperationsTest.java
+++ b/src/test/java/hopglade/proxy/OperationsTest.java
@@ -67,6 +67,13 @@
         }
     }
 
+    private int up(Service service) throws Exception {
+        try (Peer.Wire client = Peer.connect(service.listening())) {
+            client.write("GET /up HTTP/1.1\r\nHost: s\r\n\r\n");
+            return Site.status(client.read());
+        }
+    }
+
     private void nodeAnswers() throws Exception {
         for (Peer.Message m = site.node.next(); true; m = site.node.next()) {
             if (m.text() != null) {
@@ -162,6 +169,12 @@
             assertEquals("close", new Peer.Message(answer, served).header("Connection"));
             assertNull(idle.read(), "an idle client is let go");
         }
+        Service next = another();
+        while (Site.status(call(next, "GET /healthcheck")) != 200) {
+            Thread.onSpinWait();
+        }
+        assertEquals(503, up(next), "it can serve, and is drained from its start on");
+        next.kill();
         assertEquals(200, status("POST /healthcheck/ok"));
         try (Peer.Wire back = site.client()) {
             back.write("GET /up HTTP/1.1\r\nHost: s\r\n\r\n");
