--- a/src/main/java/hopglade/proxy/Gatherer.java
+++ b/src/main/java/hopglade/proxy/Gatherer.java
@@ -23,6 +23,9 @@
     static final int MOST_GATHERED = 64 * 1024;
     static final long LONGEST = 33L << 20;
 
+    /** Of more pieces one is made: each holds a whole read, however few bytes it has. */
+    private static final int MOST_PIECES = 64;
+
     private HttpMessage head;
     private CompositeByteBuf body;
     private long bytes;
@@ -67,7 +70,7 @@
             flows = true;
             ctx.fireChannelRead(message);
         } else {
-            body = Unpooled.compositeBuffer(Integer.MAX_VALUE);
+            body = Unpooled.compositeBuffer(MOST_PIECES);
         }
     }
 
--- a/src/main/java/hopglade/proxy/Service.java
+++ b/src/main/java/hopglade/proxy/Service.java
@@ -14,6 +14,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
+import java.time.Duration;
 import java.util.Arrays;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
@@ -54,6 +55,7 @@
                           "services": [{"name": "read", "effect": "retryable", "group": "all", "deadline_ms": 1500}]}}
             """;
     private static final long STATE_S = 1;
+    private static final long STALLED_MS = 500;
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final CountDownLatch ended = new CountDownLatch(1);
@@ -69,6 +71,8 @@
     private Sharing sharing;
     private InetSocketAddress listening;
     private String state = "";
+    private double lastStateMs = Double.POSITIVE_INFINITY;
+    private Duration lastCpu = Duration.ZERO;
     /** Null where the platform passes none. */
     private final ServerSocketChannel passed;
     /** Null where there is no operators' address. */
@@ -329,8 +333,19 @@
                 .map(o -> o + "=" + outcomes[o.ordinal()]).collect(Collectors.joining(" "));
     }
 
-    /** Tells of the module's state once it is another: when it began to throttle stands beside what it then refused. */
+    /**
+     * Tells of the module's state once it is another: when it began to throttle stands beside what it then refused. Tells as
+     * well if the loop has stood still, and whether that was its own work or a core that it did not get.
+     */
     private void logState() {
+        double at = clock.now();
+        Duration cpu = ProcessHandle.current().info().totalCpuDuration().orElse(Duration.ZERO);
+        if (at - lastStateMs > TimeUnit.SECONDS.toMillis(STATE_S) + STALLED_MS) {
+            Log.event("stood_still", "ms", Math.round(at - lastStateMs) - TimeUnit.SECONDS.toMillis(STATE_S),
+                    "cpu_ms", cpu.minus(lastCpu).toMillis());
+        }
+        lastStateMs = at;
+        lastCpu = cpu;
         String now = proxy.state();
         if (!now.equals(state)) {
             state = now;
