Read once what operators have kept, and change nothing where it can't be read

Found by reading: OutageFiles.read answered a failed listing with an empty set, and Operations.look then put every node back, against the operators' word. A listing needs a descriptor, so a full table is enough. Now it throws, the look changes nothing and logs shared_folder_unread. The drain was asked for by a second call to the file system; one listing now tells both, and the first look is made once instead of twice at the start.

Test: OperationsTest takes a node out, makes the folder unreadable and waits for a list; before, the node was in use again.

--- a/src/main/java/hopglade/proxy/Operations.java
+++ b/src/main/java/hopglade/proxy/Operations.java
@@ -27,6 +27,7 @@
     /** Null where nothing outlasts this process. */
     private final OutageFiles files;
     private final Set<String> out = new HashSet<>();
+    private final Log log = new Log();
     private boolean open;
     private InetSocketAddress listening;
 
@@ -52,7 +53,7 @@
         if (files != null) {
             proxy.onList(this::look);
             begun();
-            loop.scheduleAtFixedRate(this::look, 0, LOOK_MS, TimeUnit.MILLISECONDS);
+            loop.scheduleAtFixedRate(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
             look();
         }
     }
@@ -67,16 +68,22 @@
 
     /** What another process has kept holds here as well; a node that no list has named here yet is taken out when one does. */
     private void look() {
-        Set<String> kept = files.read();
-        for (String node : kept) {
+        OutageFiles.Kept kept;
+        try {
+            kept = files.read();
+        } catch (IOException e) {
+            log.odd("shared_folder_unread", "cause", e);
+            return;
+        }
+        for (String node : kept.out()) {
             if (!out.contains(node) && proxy.maintain(node, true)) {
                 taken(node, true);
             }
         }
-        if (files.isDrained() != clients.isEmptied()) {
-            drained(!clients.isEmptied());
+        if (kept.drained() != clients.isEmptied()) {
+            drained(kept.drained());
         }
-        List.copyOf(out).stream().filter(n -> !kept.contains(n)).forEach(n -> {
+        List.copyOf(out).stream().filter(n -> !kept.out().contains(n)).forEach(n -> {
             proxy.maintain(n, false);
             taken(n, false);
         });
--- a/src/main/java/hopglade/store/OutageFiles.java
+++ b/src/main/java/hopglade/store/OutageFiles.java
@@ -1,6 +1,7 @@
 package hopglade.store;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.URLDecoder;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
@@ -9,34 +10,38 @@
 import java.nio.file.Path;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 /**
- * The nodes that are out, and whether the proxy is drained, as one empty file for each: the old and the new process of an upgrade see one another's, a change
- * of one is whole or not made, and none can undo another's. Its name says all, so there is nothing in it to be damaged.
+ * The nodes that are out, and whether the proxy is drained, as one empty file for each: the old and the new process of an
+ * upgrade see one another's, a change of one is whole or not made, and none can undo another's. Its name says all, so there is
+ * nothing in it to be damaged.
  */
 public final class OutageFiles {
 
     private static final String PREFIX = "out-";
     private static final String DRAINED = "drained";
 
+    /** What is kept: the nodes that are out, and whether the proxy is drained. */
+    public record Kept(Set<String> out, boolean drained) { }
+
     private final Path folder;
 
     public OutageFiles(Path folder) {
         this.folder = folder;
     }
 
-    /** Those that are out now; none where the folder is not there. */
-    public Set<String> read() {
-        Set<String> out = new HashSet<>();
-        if (Files.isDirectory(folder)) {
-            try (Stream<Path> files = Files.list(folder)) {
-                files.map(f -> f.getFileName().toString()).filter(n -> n.startsWith(PREFIX)).forEach(n -> add(out, n));
-            } catch (IOException e) {
-                return Set.of();
-            }
+    /** What is kept now; throws where that can't be told, as without a free descriptor: nobody may take it for nothing. */
+    public Kept read() throws IOException {
+        try (Stream<Path> files = Files.list(folder)) {
+            Set<String> names = files.map(f -> f.getFileName().toString()).collect(Collectors.toSet());
+            Set<String> out = new HashSet<>();
+            names.stream().filter(n -> n.startsWith(PREFIX)).forEach(n -> add(out, n));
+            return new Kept(out, names.contains(DRAINED));
+        } catch (UncheckedIOException e) {
+            throw e.getCause();
         }
-        return out;
     }
 
     private static void add(Set<String> out, String name) {
@@ -72,10 +77,6 @@
         }
     }
 
-    public boolean isDrained() {
-        return Files.exists(folder.resolve(DRAINED));
-    }
-
     private void mark(Path file) throws IOException {
         create();
         try {
--- a/src/test/java/hopglade/proxy/OperationsTest.java
+++ b/src/test/java/hopglade/proxy/OperationsTest.java
@@ -136,6 +136,24 @@
         }
     }
 
+    @Test
+    @Timeout(Peer.PATIENCE_S)
+    void aNodeStaysOutWhileItCannotBeReadWhatIsOut() throws Exception {
+        assertEquals(200, status(MAINT));
+        Path folder = temp.resolve("flintmill");
+        Files.move(folder, temp.resolve("away"));
+        Files.writeString(folder, "no folder");
+        // What is kept is read with each list; this one has been taken in once its node is known.
+        String list = Site.list(8, false, Site.host("c1", site.node.dial(), "draining", 0)) + "\n";
+        site.discovery.next().wire().write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                + Integer.toHexString(list.length()) + "\r\n" + list + "\r\n");
+        while (status("POST /cache-nodes/c1/maint") == 404) {
+            Thread.onSpinWait();
+        }
+        assertEquals(503, read(site.service));
+        assertTrue(site.node.heardNothing());
+    }
+
     @Test
     @Timeout(Peer.PATIENCE_S)
     void whatCannotBeKeptForTheNextProcessIsANoAndChangesNothing() throws Exception {
