Look for returned nodes at a pick only while there are any

Decide.longReturned made a stream at each pick, also with no node back from an outage; the pick is on each read's path. No change in what is picked: MaintenanceTest passes unchanged.

--- a/src/main/java/hopglade/Decide.java
+++ b/src/main/java/hopglade/Decide.java
@@ -716,7 +716,7 @@
     }
 
     private NodeView longReturned(double now, Held r, NodeView otherwise) {
-        return r.in.write() ? otherwise : returned.keySet().stream()
+        return returned.isEmpty() || r.in.write() ? otherwise : returned.keySet().stream()
                 .filter(n -> now - returned.get(n) >= BACK_IN_USE_MS).findFirst().orElse(otherwise);
     }
 
