Use what is there for the admin address, a replacing start's warm-up and the operators' answers

Config.optional takes the variable that overrides a field, as required does, instead of a second way beside it; Warmup.moreMs knows that others serve, be they peers or the process that is replaced, instead of three conditions around it; AdminServer writes its text by Unpooled.copiedBuffer. No change in behaviour.

--- a/src/main/java/hopglade/admin/AdminServer.java
+++ b/src/main/java/hopglade/admin/AdminServer.java
@@ -3,7 +3,7 @@
 import hopglade.admin.Desk.Reply;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
@@ -28,7 +28,6 @@
 import java.net.SocketAddress;
 import java.net.URI;
 import java.net.URISyntaxException;
-import java.nio.CharBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -89,14 +88,14 @@
         }
         boolean health = path.length >= 2 && path[1].equals("healthcheck");
         if (health && path.length == 2) {
-            return only(HttpMethod.GET, call) ? desk.health() : wrongMethod("GET");
+            return call.method().equals(HttpMethod.GET) ? desk.health() : wrongMethod("GET");
         }
         boolean drains = health && path.length == 3 && (path[2].equals("fail") || path[2].equals("ok"));
         boolean node = path.length == 4 && path[1].equals("cache-nodes")
                 && (path[3].equals("maint") || path[3].equals("ready"));
         if (!drains && !node) {
             return new Reply(404, "no such call: " + call.uri());
-        } else if (!only(HttpMethod.POST, call)) {
+        } else if (!call.method().equals(HttpMethod.POST)) {
             return wrongMethod("POST");
         }
         // A part of a path that the whole could be read with can be read.
@@ -104,10 +103,6 @@
                 : desk.maintain(URI.create("/" + path[2]).getPath().substring(1), path[3].equals("maint"));
     }
 
-    private static boolean only(HttpMethod method, FullHttpRequest call) {
-        return call.method().equals(method);
-    }
-
     private static Reply wrongMethod(String right) {
         return new Reply(405, "this call is a " + right);
     }
@@ -120,13 +115,12 @@
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest call) {
             if (!answered) {
                 answered = true;
-                Reply reply = call.decoderResult().isFailure() ? new Reply(400, "no HTTP request") : reply(call);
-                answer(ctx, reply);
+                answer(ctx, call.decoderResult().isFailure() ? new Reply(400, "no HTTP request") : reply(call));
             }
         }
 
         private void answer(ChannelHandlerContext ctx, Reply reply) {
-            ByteBuf text = ByteBufUtil.encodeString(ctx.alloc(), CharBuffer.wrap(reply.text() + "\n"), StandardCharsets.UTF_8);
+            ByteBuf text = Unpooled.copiedBuffer(reply.text() + "\n", StandardCharsets.UTF_8);
             FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
                     HttpResponseStatus.valueOf(reply.status()), text);
             answer.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, text.readableBytes())
--- a/src/main/java/hopglade/proxy/Config.java
+++ b/src/main/java/hopglade/proxy/Config.java
@@ -63,15 +63,14 @@
             if (settings == null) {
                 throw new ConfigException("settings: missing");
             }
-            String adminAddress = text(o, "admin", environment.get("BALANCER_ADMIN"));
+            InetSocketAddress admin = optional(o, "admin", environment.get("BALANCER_ADMIN"));
             String passed = environment.get("BALANCER_PASSED_SOCKET");
             return new Config(text(o, "name", environment.get("BALANCER_NAME")),
                     required(o, "listen", environment.get("BALANCER_LISTEN")),
                     required(o, "discovery", environment.get("BALANCER_DISCOVERY")), seed(o), sockets(o),
-                    optional(o, "peer_listen"), peers(o), optional(o, "peers_all"),
+                    optional(o, "peer_listen", null), peers(o), optional(o, "peers_all", null),
                     known(o), SettingsReader.read(settings), maxOpen(settings),
-                    adminAddress == null ? null : Addresses.parse(adminAddress), passed,
-                    adminAddress == null && passed == null ? null : shared(environment));
+                    admin, passed, admin == null && passed == null ? null : shared(environment));
         } catch (RuntimeException e) {
             // Gson and the settings' own checks report what is wrong by several unchecked types.
             throw new ConfigException(String.valueOf(e.getMessage()).lines().findFirst().orElse("malformed"));
@@ -94,8 +93,8 @@
         return Addresses.parse(value);
     }
 
-    private static InetSocketAddress optional(JsonObject o, String field) {
-        String value = text(o, field, null);
+    private static InetSocketAddress optional(JsonObject o, String field, String override) {
+        String value = text(o, field, override);
         return value == null ? null : Addresses.parse(value);
     }
 
--- a/src/main/java/hopglade/proxy/Warmup.java
+++ b/src/main/java/hopglade/proxy/Warmup.java
@@ -94,12 +94,12 @@
         long started = begun;
         long ending = begun;
         long patience = replaces ? PATIENCE_MS : patienceMs(known);
-        Warmup warmup = new Warmup(settings, patience + (replaces ? 0 : moreMs(known, false)));
+        Warmup warmup = new Warmup(settings, patience + moreMs(known, replaces));
         try (PeerEar ear = new PeerEar(peerListen)) {
             warmup.start();
             started = System.nanoTime();
-            if (!warmup.done.await(patience, TimeUnit.MILLISECONDS) && !replaces) {
-                warmup.done.await(moreMs(known, ear.heard(0)), TimeUnit.MILLISECONDS);
+            if (!warmup.done.await(patience, TimeUnit.MILLISECONDS)) {
+                warmup.done.await(moreMs(known, replaces || ear.heard(0)), TimeUnit.MILLISECONDS);
             }
             ending = System.nanoTime();
         } finally {
@@ -123,9 +123,9 @@
         return servedBefore(known) ? AGAIN_MS : PATIENCE_MS;
     }
 
-    /** What it may take on top: at a birth, with no peer at work, no client comes before all are ready. */
-    static long moreMs(HostList known, boolean peersHeard) {
-        return servedBefore(known) || peersHeard ? 0 : ALONE_MS;
+    /** What it may take on top: at a birth, with nobody else at work, no client comes before all are ready. */
+    static long moreMs(HostList known, boolean othersServe) {
+        return servedBefore(known) || othersServe ? 0 : ALONE_MS;
     }
 
     void awaitDone() throws InterruptedException {
