Say once how a long message is gathered, when an answer is the last and how a drain ends

Found by reading the change again: - Gatherer's two subclasses each told of a message that is too long and copied the decoder's result; both are Gatherer's now. The length was parsed three times for each message, also small ones, and is once. Trailers are dropped, so whole() has none to pass. - Connection.flow and Exchange.part each looked for the last and for a broken part; flow does, and a broken one ends by fail, as everywhere else. Two places told FullTable that a node took one. - Whether part of a request is unread was worked out in three places and is part of lasts(). A long answer that begins before its request's body is whole therefore says Connection: close; before it ended its half without saying so. - ClientServer.handOver and Service.handOver were a second drain beside the first. One does now.

--- a/src/main/java/hopglade/proxy/ClientServer.java
+++ b/src/main/java/hopglade/proxy/ClientServer.java
@@ -22,6 +22,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpMessage;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -38,7 +39,6 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpContentException;
 import io.netty.util.ReferenceCountUtil;
 import java.math.BigDecimal;
@@ -103,7 +103,6 @@
     private int idle;
     private boolean draining;
     private boolean emptied;
-    private boolean handedOver;
     /** Whether other processes listen on the same socket. */
     private boolean shared;
     private boolean stopped;
@@ -133,15 +132,15 @@
 
     private ServerBootstrap serving(ServerBootstrap server) {
         return server.childHandler(new ChannelInitializer<>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        Connection connection = new Connection(channel);
-                        channel.pipeline().addLast(connection.bytes, new StrictHttp.Requests(),
-                                new HttpResponseEncoder(), new Bodies(), connection);
-                        makeRoom();
-                        connections.add(connection);
-                    }
-                });
+            @Override
+            protected void initChannel(Channel channel) {
+                Connection connection = new Connection(channel);
+                channel.pipeline().addLast(connection.bytes, new StrictHttp.Requests(),
+                        new HttpResponseEncoder(), new Bodies(), connection);
+                makeRoom();
+                connections.add(connection);
+            }
+        });
     }
 
     private void sweep() {
@@ -164,11 +163,16 @@
 
     /**
      * From now on each answer is its connection's last, but for clients that were served before: they may have nowhere
-     * else to go, as another proxy may be just starting.
+     * else to go, as another proxy may be just starting. Where another process listens on the same socket all have, and
+     * whoever comes is its client.
      */
     void drain() {
         draining = true;
-        connections.forEach(c -> c.kept = c.proven);
+        if (shared) {
+            accept(false);
+        } else {
+            connections.forEach(c -> c.kept = c.proven);
+        }
     }
 
     /**
@@ -184,14 +188,11 @@
     }
 
     private boolean emptying() {
-        return emptied || handedOver;
+        return emptied || handsOver();
     }
 
-    /** Another process takes the clients from now on; what this one accepted it answers, each connection once more. */
-    void handOver() {
-        draining = true;
-        handedOver = true;
-        accept(false);
+    private boolean handsOver() {
+        return shared && draining;
     }
 
     private void accept(boolean accepts) {
@@ -238,33 +239,24 @@
         connections.remove(connection);
         if (full && connections.size() < maxConnections) {
             full = false;
-            accept(!handedOver);
+            accept(!handsOver());
         }
     }
 
     /** Puts requests together; one whose body is longer than any may be is told of by an exception. */
     private static final class Bodies extends Gatherer {
         @Override
-        boolean begins(ChannelHandlerContext ctx, HttpMessage message) {
-            boolean may = super.begins(ctx, message);
-            if (may && HttpUtil.is100ContinueExpected(message)) {
+        void accepted(ChannelHandlerContext ctx, HttpMessage message) {
+            if (HttpUtil.is100ContinueExpected(message)) {
                 ctx.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
             }
-            return may;
         }
 
         @Override
-        FullHttpMessage whole(HttpMessage head, CompositeByteBuf body, LastHttpContent last) {
+        FullHttpMessage whole(HttpMessage head, CompositeByteBuf body) {
             HttpRequest request = (HttpRequest) head;
-            FullHttpRequest whole = new DefaultFullHttpRequest(request.protocolVersion(), request.method(), request.uri(), body,
-                    request.headers(), last.trailingHeaders());
-            whole.setDecoderResult(head.decoderResult());
-            return whole;
-        }
-
-        @Override
-        void tooLong(ChannelHandlerContext ctx) {
-            ctx.fireExceptionCaught(new TooLongHttpContentException("body over " + LONGEST + " bytes"));
+            return new DefaultFullHttpRequest(request.protocolVersion(), request.method(), request.uri(), body,
+                    request.headers(), EmptyHttpHeaders.INSTANCE);
         }
     }
 
@@ -477,11 +469,15 @@
         @Override
         public void served(FullHttpResponse response) {
             FullHttpResponse answer = response(HttpResponseStatus.OK, response.content().retain());
-            String type = response.headers().get(HttpHeaderNames.CONTENT_TYPE);
+            passType(response, answer);
+            answer(answer);
+        }
+
+        private void passType(HttpResponse from, HttpResponse to) {
+            String type = from.headers().get(HttpHeaderNames.CONTENT_TYPE);
             if (type != null) {
-                answer.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
+                to.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
             }
-            answer(answer);
         }
 
         @Override
@@ -509,18 +505,18 @@
 
         private void answer(FullHttpResponse answer) {
             HttpUtil.setContentLength(answer, answer.content().readableBytes());
-            boolean unread = upload != null && !upload.ended();
-            boolean last = lasts(answer) || unread;
-            if (last) {
-                answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            }
-            ended(last, unread, channel.writeAndFlush(answer));
+            ended(lasts(answer), channel.writeAndFlush(answer));
+        }
+
+        /** Whether part of the request that is answered is still to come. */
+        private boolean unread() {
+            return upload != null && !upload.ended();
         }
 
-        /** Whether this answer is its connection's last. */
+        /** Whether this answer is its connection's last; if so it says that. */
         private boolean lasts(HttpResponse answer) {
             // While clients wait to be accepted, a connection that is kept would keep one of them out.
-            boolean last = stopped || emptying() || draining && !kept || full || crowded() || !keepAlive;
+            boolean last = stopped || emptying() || draining && !kept || full || crowded() || !keepAlive || unread();
             if (last) {
                 answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
@@ -528,11 +524,11 @@
         }
 
         /** The answer has been handed over to be written. What is still coming of its request is read on and dropped. */
-        private void ended(boolean last, boolean unread, ChannelFuture handedOver) {
+        private void ended(boolean last, ChannelFuture handedOver) {
             open = null;
             enter(last ? Phase.CLOSING : Phase.IDLE);
             written = handedOver;
-            if (unread) {
+            if (last && unread()) {
                 dropWaiting();
                 closeOurHalf();
             } else if (last) {
@@ -575,10 +571,7 @@
         @Override
         public NodePool.Rest flows(HttpResponse head, NodePool.Exchange exchange) {
             HttpResponse answer = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
-            String type = head.headers().get(HttpHeaderNames.CONTENT_TYPE);
-            if (type != null) {
-                answer.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
-            }
+            passType(head, answer);
             long length = HttpUtil.getContentLength(head, -1L);
             if (length >= 0) {
                 HttpUtil.setContentLength(answer, length);
@@ -615,7 +608,7 @@
             public void ended(boolean whole) {
                 flow = null;
                 if (whole) {
-                    Connection.this.ended(last, upload != null && !upload.ended(), written);
+                    Connection.this.ended(last, written);
                 } else {
                     // The client can tell: neither the length nor the last chunk has come.
                     channel.close();
--- a/src/main/java/hopglade/proxy/Gatherer.java
+++ b/src/main/java/hopglade/proxy/Gatherer.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpContentException;
 import io.netty.util.ReferenceCountUtil;
 
 /**
@@ -34,15 +35,10 @@
     private boolean drops;
 
     /** A message and its body as one. */
-    abstract FullHttpMessage whole(HttpMessage head, CompositeByteBuf body, LastHttpContent last);
+    abstract FullHttpMessage whole(HttpMessage head, CompositeByteBuf body);
 
-    /** The head was read: whether the rest may come. */
-    boolean begins(ChannelHandlerContext ctx, HttpMessage message) {
-        return HttpUtil.getContentLength(message, 0L) <= LONGEST;
-    }
-
-    /** Longer than anyone may send. */
-    abstract void tooLong(ChannelHandlerContext ctx);
+    /** The head was read, and the rest may come. */
+    void accepted(ChannelHandlerContext ctx, HttpMessage message) { }
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
@@ -50,37 +46,49 @@
             ctx.fireChannelRead(message);
         } else if (message instanceof HttpMessage begun) {
             head(ctx, begun);
-        } else if (message instanceof HttpContent part) {
-            part(ctx, part);
         } else {
-            ctx.fireChannelRead(message);
+            part(ctx, (HttpContent) message);
         }
     }
 
     private void head(ChannelHandlerContext ctx, HttpMessage message) {
         head = message;
         bytes = 0;
-        flows = false;
-        drops = !readable(message) || !begins(ctx, message);
+        long length = length(message);
+        drops = message.decoderResult().isFailure() || length > LONGEST;
+        flows = !drops && length > MOST_GATHERED;
         if (message.decoderResult().isFailure()) {
-            ctx.fireChannelRead(whole(message, Unpooled.compositeBuffer(), LastHttpContent.EMPTY_LAST_CONTENT));
+            fireWhole(ctx, Unpooled.compositeBuffer());
         } else if (drops) {
             tooLong(ctx);
-        } else if (HttpUtil.getContentLength(message, 0L) > MOST_GATHERED) {
-            flows = true;
-            ctx.fireChannelRead(message);
         } else {
-            body = Unpooled.compositeBuffer(MOST_PIECES);
+            accepted(ctx, message);
+            if (flows) {
+                ctx.fireChannelRead(message);
+            } else {
+                body = Unpooled.compositeBuffer(MOST_PIECES);
+            }
         }
     }
 
-    private static boolean readable(HttpMessage message) {
+    /** The length that it names, 0 without one; one that is no number makes the message one that can't be read. */
+    private static long length(HttpMessage message) {
         try {
-            HttpUtil.getContentLength(message, 0L);
+            return HttpUtil.getContentLength(message, 0L);
         } catch (NumberFormatException e) {
             message.setDecoderResult(DecoderResult.failure(e));
+            return 0;
         }
-        return message.decoderResult().isSuccess();
+    }
+
+    private void fireWhole(ChannelHandlerContext ctx, CompositeByteBuf content) {
+        FullHttpMessage whole = whole(head, content);
+        whole.setDecoderResult(head.decoderResult());
+        ctx.fireChannelRead(whole);
+    }
+
+    private void tooLong(ChannelHandlerContext ctx) {
+        ctx.fireExceptionCaught(new TooLongHttpContentException("a message of over " + LONGEST + " bytes"));
     }
 
     private void part(ChannelHandlerContext ctx, HttpContent part) {
@@ -100,26 +108,20 @@
         } else if (part.decoderResult().isFailure()) {
             drops = true;
             head.setDecoderResult(part.decoderResult());
-            ctx.fireChannelRead(whole(head, taken(), LastHttpContent.EMPTY_LAST_CONTENT));
+            fireWhole(ctx, taken());
             part.release();
-        } else if (part instanceof LastHttpContent last && bytes <= MOST_GATHERED) {
-            body.addComponent(true, part.content());
-            ctx.fireChannelRead(whole(head, taken(), last));
+        } else if (bytes > MOST_GATHERED) {
+            flows = true;
+            CompositeByteBuf first = taken();
+            ctx.fireChannelRead(head);
+            ctx.fireChannelRead(new DefaultHttpContent(first));
+            ctx.fireChannelRead(part);
         } else {
-            gather(ctx, part);
-        }
-    }
-
-    private void gather(ChannelHandlerContext ctx, HttpContent part) {
-        if (bytes <= MOST_GATHERED) {
             body.addComponent(true, part.content());
-            return;
+            if (part instanceof LastHttpContent) {
+                fireWhole(ctx, taken());
+            }
         }
-        flows = true;
-        CompositeByteBuf first = taken();
-        ctx.fireChannelRead(head);
-        ctx.fireChannelRead(new DefaultHttpContent(first));
-        ctx.fireChannelRead(part);
     }
 
     private CompositeByteBuf taken() {
@@ -140,8 +142,7 @@
     }
 
     private void release() {
-        ReferenceCountUtil.release(body);
-        body = null;
+        ReferenceCountUtil.release(taken());
         drops = true;
     }
 }
--- a/src/main/java/hopglade/proxy/NodePool.java
+++ b/src/main/java/hopglade/proxy/NodePool.java
@@ -16,6 +16,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpMessage;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -31,7 +32,6 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpContentException;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
@@ -433,20 +433,11 @@
             rest = done.began(this, head);
         }
 
-        private void part(HttpContent part) {
-            boolean last = part instanceof LastHttpContent;
-            boolean broken = part.decoderResult().isFailure();
-            if (broken) {
-                part.release();
-                cutShort();
-            } else {
-                Rest taker = rest;
-                rest = last ? null : taker;
-                taker.part(part);
-                if (last) {
-                    taker.ended(true);
-                }
-            }
+        private void lastPart(HttpContent part) {
+            Rest taker = rest;
+            rest = null;
+            taker.part(part);
+            taker.ended(true);
         }
 
         /** The rest of a long answer will not come. */
@@ -596,7 +587,7 @@
             } else if (part instanceof HttpResponse head) {
                 begin(ctx, head);
             } else if (current != null && current.rest != null) {
-                flow((HttpContent) ReferenceCountUtil.retain(part));
+                flow(ctx, ((HttpContent) part).retain());
             }
         }
 
@@ -616,23 +607,27 @@
             }
         }
 
-        private void flow(HttpContent part) {
+        private void flow(ChannelHandlerContext ctx, HttpContent part) {
             Exchange exchange = current;
-            lastFlowed = nanos.getAsLong();
-            boolean last = part instanceof LastHttpContent && !part.decoderResult().isFailure();
-            if (last) {
+            if (part.decoderResult().isFailure()) {
+                part.release();
+                fail(ctx, part.decoderResult().cause());
+            } else if (part instanceof LastHttpContent) {
                 current = null;
-                release(exchange, keeps && context.channel().isActive());
-                if (!answered && tried) {
-                    target.table.tookOne();
-                }
-                answered = true;
+                release(exchange, keeps && ctx.channel().isActive());
+                taken();
+                exchange.lastPart(part);
+            } else {
+                exchange.rest.part(part);
             }
-            exchange.part(part);
-            if (!last && exchange.rest == null) {
-                current = null;
-                context.close();
+        }
+
+        /** The node has answered on it: if it was tried after one was turned away, there is room again. */
+        private void taken() {
+            if (!answered && tried) {
+                target.table.tookOne();
             }
+            answered = true;
         }
 
         private void whole(ChannelHandlerContext ctx, FullHttpResponse response) {
@@ -664,7 +659,7 @@
             stallTimer = loop.schedule(() -> {
                 stallTimer = null;
                 double quietMs = (nanos.getAsLong() - lastFlowed) / 1e6;
-                if (current != watched || begun == 0 || watched.rest != null) {
+                if (current != watched || begun == 0) {
                     return;
                 } else if (quietMs >= stallMs) {
                     fail(ctx, null);
@@ -694,10 +689,10 @@
                 // A new connection that is closed again unheard: the node's table is full, whatever its cores do.
                 outcome = Outcome.CONNECT_FAILED;
                 target.table.turnedAway(nanos.getAsLong(), random.nextDouble());
-            } else if (!answered && tried) {
-                target.table.tookOne();
+                answered = true;
+            } else {
+                taken();
             }
-            answered = true;
             try {
                 exchange.end(outcome, response);
             } finally {
@@ -790,17 +785,10 @@
     /** Puts answers together; one that is longer than any may be makes no sense. */
     private static final class Answers extends Gatherer {
         @Override
-        FullHttpMessage whole(HttpMessage head, CompositeByteBuf body, LastHttpContent last) {
+        FullHttpMessage whole(HttpMessage head, CompositeByteBuf body) {
             HttpResponse response = (HttpResponse) head;
-            FullHttpResponse whole = new DefaultFullHttpResponse(response.protocolVersion(), response.status(), body,
-                    response.headers(), last.trailingHeaders());
-            whole.setDecoderResult(head.decoderResult());
-            return whole;
-        }
-
-        @Override
-        void tooLong(ChannelHandlerContext ctx) {
-            ctx.fireExceptionCaught(new TooLongHttpContentException("an answer of over " + LONGEST + " bytes"));
+            return new DefaultFullHttpResponse(response.protocolVersion(), response.status(), body, response.headers(),
+                    EmptyHttpHeaders.INSTANCE);
         }
     }
 
--- a/src/main/java/hopglade/proxy/Proxy.java
+++ b/src/main/java/hopglade/proxy/Proxy.java
@@ -50,9 +50,7 @@
         void failed();
 
         /** A long answer begins; the request is over with it, and the client's side has what follows. */
-        default NodePool.Rest flows(HttpResponse head, NodePool.Exchange exchange) {
-            return null;
-        }
+        NodePool.Rest flows(HttpResponse head, NodePool.Exchange exchange);
     }
 
     /** Who shares with other proxies what this one sees of the nodes; told of it on the event loop. */
--- a/src/main/java/hopglade/proxy/Service.java
+++ b/src/main/java/hopglade/proxy/Service.java
@@ -70,6 +70,8 @@
     /** Null where this proxy shares nothing. */
     private Sharing sharing;
     private InetSocketAddress listening;
+    /** Whether {@link #finish} looks already whether anything is left. */
+    private boolean ending;
     private String state = "";
     private double lastStateMs = Double.POSITIVE_INFINITY;
     private Duration lastCpu = Duration.ZERO;
@@ -248,11 +250,7 @@
 
     /** Ends the service once nothing is owed, and returns then. */
     public void drain() {
-        if (passed == null) {
-            beginDrain();
-        } else {
-            handOver();
-        }
+        beginDrain();
         double longest = config.settings().classes().stream().mapToDouble(ServiceClass::deadlineMs).max().orElse(0);
         longest = Math.min(LONGEST_MS, longest);
         loop.schedule(this::endDrain, (long) (KILL_MS + longest / 2), TimeUnit.MILLISECONDS);
@@ -264,35 +262,36 @@
         }
     }
 
-    /** Still serves whoever comes; those that come only now for the last time. */
+    /**
+     * Still serves whoever comes; those that come only now for the last time. Where the next process has the clients' socket too
+     * it serves whoever comes, and this one ends when all that it took is answered.
+     */
     void beginDrain() {
-        Log.event("draining");
+        Log.event(passed == null ? "draining" : "handing_over");
         if (sharing != null) {
             loop.execute(sharing::leave);
         }
         loop.execute(clients::drain);
-    }
-
-    /** The next process serves whoever comes; ends when all that was taken is answered. */
-    void handOver() {
-        Log.event("handing_over");
-        if (sharing != null) {
-            loop.execute(sharing::leave);
+        if (passed != null) {
+            loop.execute(this::endWhenEmpty);
         }
-        loop.execute(() -> {
-            clients.handOver();
-            finish();
-        });
     }
 
     /** Takes no more, and ends when all that was taken is answered. */
     void endDrain() {
         loop.execute(() -> {
             clients.stop();
-            finish();
+            endWhenEmpty();
         });
     }
 
+    private void endWhenEmpty() {
+        if (!ending) {
+            ending = true;
+            finish();
+        }
+    }
+
     /** Ends at once, whatever is owed. */
     void kill() {
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
--- a/src/main/java/hopglade/proxy/Upload.java
+++ b/src/main/java/hopglade/proxy/Upload.java
@@ -44,6 +44,7 @@
             early.add(part);
         } else {
             write(part);
+            flow();
         }
     }
 
@@ -94,7 +95,6 @@
                 sent.run();
             }
         });
-        flow();
     }
 
     /** Reads on from the client as far as the node's connection takes it. */
