Detect failures after Lifeguard, and step down when nobody answers

Change, all in the core without I/O (hopglade.membership.Swim): - Lifeguard's local health score 0..8 (gossip.health_most): up for an unanswered probe, a relay that sent no nack, a suspicion of itself that it refuted; down for an answered probe; period and wait stretch 1 + health. - Suspicion from 6x its least down to the least, 2 periods * max(1, log10 n), as independent members confirm it (K = 2, as memberlist); members carry who suspects them; one that hears of a suspicion probes the suspect next, and a ping to a suspect carries the suspicion (buddy), so it refutes at once. - Relays answer NACK after 80% of the wait. Period 500 ms, wait 200 ms. - Time in which the process stood still (a gap between calls over 300 ms) counts for no timer: a proxy that wakes accuses nobody for its own pause. - No answer of any kind (ack, relayed ack, nack) for 3 s with two others at least: it steps down (no claims, no deaths declared for up to 60 s, own lone suspicions withdrawn) and steps up at the first answer. - A suspected peer's claims about nodes weigh half. - Confirmations ride on probes alone; a dedicated packet for each raised the fleet's bytes under a flood of rubbish past the test's bound. - Wire version 2 (members carry the accuser; NACK): gossip of earlier versions does not mix with it. `flintmill members` shows health, seconds since each was heard by own awake time, and who suspects it.

Rejected: scalecube-cluster's SWIM (own threads, timers and transport, no virtual time, no signatures); a who-hears-whom digest for asymmetric cuts, as acks, relayed acks and nacks already tell a proxy whether anyone hears it.

--- a/src/main/java/hopglade/config/Options.java
+++ b/src/main/java/hopglade/config/Options.java
@@ -31,9 +31,10 @@
      * @param bytesPerS         the most that is sent in any second, headers included, 4096 to 1,048,576
      * @param verificationsPerS signatures that are checked in any second at most, 10 to 10,000
      * @param membersSocket     where {@code flintmill members} asks; empty for nowhere
+     * @param healthMost        the highest local health score, by which a proxy that is slow itself waits longer; 0 to 16, 0 for none
      */
     public record Gossip(boolean enabled, String listen, String advertise, List<String> seeds, String keyFile, String ringFile, int bytesPerS,
-                         int verificationsPerS, String membersSocket) {
+                         int verificationsPerS, String membersSocket, int healthMost) {
 
         public Gossip {
             seeds = List.copyOf(seeds);
@@ -42,5 +43,5 @@
 
     /** What holds without a file. */
     public static final Options DEFAULTS = new Options(new Log(Format.TEXT, 10, 20, 10),
-            new Gossip(false, "127.0.0.1:7946", "", List.of(), "gossip.key", "gossip.ring", 4096, 200, ""));
+            new Gossip(false, "127.0.0.1:7946", "", List.of(), "gossip.key", "gossip.ring", 4096, 200, "", 8));
 }
--- a/src/main/java/hopglade/config/OptionsFile.java
+++ b/src/main/java/hopglade/config/OptionsFile.java
@@ -13,6 +13,7 @@
     private static final int LEAST_BYTES = 4096;
     private static final int MOST_BYTES = 1 << 20;
     private static final int LEAST_VERIFICATIONS = 10;
+    private static final int MOST_HEALTH = 16;
     private static final Pattern ADDRESS = Pattern.compile("(\\d{1,3}(\\.\\d{1,3}){3}|\\[[0-9a-fA-F:]+]):\\d{1,5}");
 
     private OptionsFile() { }
@@ -48,7 +49,8 @@
                 t.texts("seeds", absent.seeds()), t.text("key_file", absent.keyFile()), t.text("ring_file", absent.ringFile()),
                 t.whole("bytes_per_s", absent.bytesPerS(), LEAST_BYTES, MOST_BYTES),
                 t.whole("verifications_per_s", absent.verificationsPerS(), LEAST_VERIFICATIONS, MOST_LINES),
-                t.has("members_socket") ? t.text("members_socket", "") : absent.membersSocket());
+                t.has("members_socket") ? t.text("members_socket", "") : absent.membersSocket(),
+                t.whole("health_most", absent.healthMost(), 0, MOST_HEALTH));
         for (String seed : gossip.seeds()) {
             address(t, "seeds", seed);
         }
--- a/src/main/java/hopglade/gossip/GossipSocket.java
+++ b/src/main/java/hopglade/gossip/GossipSocket.java
@@ -98,7 +98,7 @@
         }
         channel = bound.channel();
         String here = options.advertise().isEmpty() ? text(bound()) : options.advertise();
-        gossip = new Gossip(new Gossip.Settings(here, options.seeds(), options.bytesPerS(), options.verificationsPerS()), keys, seed);
+        gossip = new Gossip(new Gossip.Settings(here, options.seeds(), options.bytesPerS(), options.verificationsPerS(), options.healthMost()), keys, seed);
         if (!options.membersSocket().isEmpty()) {
             members = MembersSocket.open(Path.of(options.membersSocket()), loop, this::view);
         }
@@ -181,12 +181,19 @@
         return gossip.counts();
     }
 
-    /** Everyone that is known, one a line: name, state, address, incarnation and how far its claims are believed. */
+    /**
+     * Everyone that is known, one a line after a head: name, state, address, incarnation, how far its claims are believed, seconds
+     * of this proxy's own awake time since it was last heard, and who suspects it.
+     */
     String view() {
-        StringBuilder lines = new StringBuilder();
-        for (Member m : gossip.table()) {
-            lines.append(String.format(Locale.ROOT, "%-32s %-8s %-24s %6d  %.2f%n", m.name(), m.status().name().toLowerCase(Locale.ROOT),
-                    m.address(), m.incarnation(), gossip.weight(clock.getAsDouble(), m.name())));
+        double now = clock.getAsDouble();
+        StringBuilder lines = new StringBuilder(String.format(Locale.ROOT, "# health %d%s stalls %d%n", gossip.health(),
+                gossip.steppedDown() ? " stepped-down" : "", gossip.stalls()));
+        for (Gossip.Seen seen : gossip.seen(now)) {
+            Member m = seen.member();
+            lines.append(String.format(Locale.ROOT, "%-32s %-8s %-24s %6d  %.2f %8.1f  %s%n", m.name(), m.status().name().toLowerCase(Locale.ROOT),
+                    m.address(), m.incarnation(), gossip.weight(now, m.name()), seen.heardAgoMs() / 1000,
+                    seen.suspectedBy().isEmpty() ? "-" : String.join(",", seen.suspectedBy())));
         }
         return lines.toString();
     }
--- a/src/main/java/hopglade/lab/Experiment.java
+++ b/src/main/java/hopglade/lab/Experiment.java
@@ -35,8 +35,8 @@
     /** {@code run} is the command that starts one; empty for that of deploy/balancer.toml. */
     public record Proxies(int count, String run, int memoryMb, int sockets, double noticeS) { }
 
-    /** Whether the proxies gossip, and the bytes that each may send in a second, headers included. */
-    public record Gossip(boolean enabled, int bytesPerS) { }
+    /** Whether the proxies gossip, the bytes that each may send in a second, headers included, and whether their timeouts heed their own health. */
+    public record Gossip(boolean enabled, int bytesPerS, boolean health) { }
 
     public record Load(double rate, double zipf, double drift, int retries, double[] retryWaitMs, double honours,
                        boolean marksRetries, double[] patience, double costHintError, double maxRetryAfterMs,
--- a/src/main/java/hopglade/lab/ExperimentFile.java
+++ b/src/main/java/hopglade/lab/ExperimentFile.java
@@ -63,7 +63,7 @@
         Experiment.Proxies proxies = proxies(root.table("proxies"));
         Toml.Table talk = root.table("gossip");
         Experiment.Gossip gossip = new Experiment.Gossip(talk.flag("enabled", false),
-                talk.whole("bytes_per_s", GOSSIP_BYTES, LEAST_GOSSIP_BYTES, MOST_GOSSIP_BYTES));
+                talk.whole("bytes_per_s", GOSSIP_BYTES, LEAST_GOSSIP_BYTES, MOST_GOSSIP_BYTES), talk.flag("health", true));
         talk.done();
         Experiment.Load load = load(root.table("load"));
         Experiment.Rules rules = rules(root.table("rules"));
--- a/src/main/java/hopglade/lab/sockets/SocketPeers.java
+++ b/src/main/java/hopglade/lab/sockets/SocketPeers.java
@@ -57,7 +57,7 @@
         InetSocketAddress known = relay.address(experiment.proxies().count());
         Options.Gossip options = new Options.Gossip(true, known.getAddress().getHostAddress() + ":0", text(known), seeds(experiment, relay),
                 directory.resolve(LIAR + ".key").toString(), directory.resolve("gossip.ring").toString(), experiment.gossip().bytesPerS(),
-                VERIFICATIONS_PER_S, "");
+                VERIFICATIONS_PER_S, "", Options.DEFAULTS.gossip().healthMost());
         GossipSocket socket;
         try {
             socket = GossipSocket.open(loop, clock, experiment.seed(), options, new GossipSocket.Hooks() {
@@ -105,7 +105,9 @@
                     key_file = "%s"
                     ring_file = "%s"
                     bytes_per_s = %d
-                    """.formatted(text(addresses.get(i)), text(relay.address(i)), seeds, key, ring, experiment.gossip().bytesPerS()));
+                    health_most = %d
+                    """.formatted(text(addresses.get(i)), text(relay.address(i)), seeds, key, ring, experiment.gossip().bytesPerS(),
+                    experiment.gossip().health() ? Options.DEFAULTS.gossip().healthMost() : 0));
         }
     }
 
--- a/src/main/java/hopglade/lab/virtual/VirtualPeers.java
+++ b/src/main/java/hopglade/lab/virtual/VirtualPeers.java
@@ -50,7 +50,8 @@
             for (int i = 0; i < Math.min(PeerLinks.SEEDS, experiment.proxies().count()); i++) {
                 seeds.add(address(i));
             }
-            gossip = new Gossip(new Gossip.Settings(address(proxy.index), seeds, experiment.gossip().bytesPerS(), VERIFICATIONS_PER_S),
+            gossip = new Gossip(new Gossip.Settings(address(proxy.index), seeds, experiment.gossip().bytesPerS(), VERIFICATIONS_PER_S,
+                    experiment.gossip().health() ? Gossip.Settings.HEALTH_MOST : 0),
                     new HashIdentity("proxy-" + proxy.index, Set.of()), experiment.seed() * 131 + proxy.index * 7919L + life);
         }
 
--- a/src/main/java/hopglade/membership/Evidence.java
+++ b/src/main/java/hopglade/membership/Evidence.java
@@ -51,6 +51,10 @@
     private static final int SLOW_RUN = 6;
     private static final double SMOOTH = 0.1;
     private static final int MOST_ATTEMPTS = 255;
+    /** What the claims of a proxy that is suspected weigh, of what they would: it may be the one that is cut off. */
+    private static final double SUSPECTED_WEIGHT = 0.5;
+
+    private final Set<String> suspected = new TreeSet<>();
 
     private static final class Heard {
         Claim claim;
@@ -298,6 +302,15 @@
         }
     }
 
+    /** A member is suspected, or no longer. */
+    void suspected(String observer, boolean is) {
+        if (is) {
+            suspected.add(observer);
+        } else {
+            suspected.remove(observer);
+        }
+    }
+
     /** It is gone: what it said goes with it. */
     void gone(String observer) {
         accused.forEach(node -> nodes.get(node).heard.remove(observer));
@@ -338,7 +351,7 @@
         for (Map.Entry<String, Heard> e : s.heard.entrySet()) {
             // What was said before it last answered us is overtaken.
             if (e.getValue().statedAt >= s.answeredAt()) {
-                weight += weight(now, e.getKey());
+                weight += weight(now, e.getKey()) * (suspected.contains(e.getKey()) ? SUSPECTED_WEIGHT : 1);
                 attempts += e.getValue().claim.attempts();
                 heard = true;
             }
--- a/src/main/java/hopglade/membership/Gossip.java
+++ b/src/main/java/hopglade/membership/Gossip.java
@@ -58,11 +58,33 @@
      * @param seeds            addresses that are asked for the others; may hold its own
      * @param bytesPerS        the most that it sends in any second, the headers of UDP and IPv4 included; at least 4096, as a packet must fit
      * @param verificationsPerS signatures that it checks in a second at most; what a flood can cost
+     * @param healthMost       the highest local health score (Lifeguard), by which timeouts stretch up to {@code 1 + healthMost}
+     *                         times; 0 keeps them as they are
      */
-    public record Settings(String address, List<String> seeds, int bytesPerS, int verificationsPerS) { }
+    public record Settings(String address, List<String> seeds, int bytesPerS, int verificationsPerS, int healthMost) {
+
+        /** Lifeguard's and memberlist's highest score. */
+        public static final int HEALTH_MOST = 8;
+    }
 
     /** What an operator may want to know. */
-    public enum What { MEMBER, SUSPECTED, DIED, LEFT, RESTARTED, NAME_TWICE, DOUBTED, CLEARED, DISTRUSTED }
+    public enum What {
+        MEMBER, SUSPECTED, DIED, LEFT, RESTARTED, NAME_TWICE, DOUBTED, CLEARED, DISTRUSTED,
+        /** Others held this proxy suspected or dead; it raised its incarnation. */
+        REFUTED,
+        /** Nobody has answered it for long: it makes no claims and declares nobody dead. */
+        STEPPED_DOWN,
+        /** An answer came again. */
+        STEPPED_UP
+    }
+
+    /**
+     * One member as this proxy sees it.
+     *
+     * @param heardAgoMs of this proxy's own awake time since a packet of it was taken; 0 for this proxy itself
+     * @param suspectedBy who holds the suspicion of it, as far as told here; empty unless suspected
+     */
+    public record Seen(Member member, double heardAgoMs, List<String> suspectedBy) { }
 
     /** Where the wishes go. */
     public interface Actions {
@@ -170,7 +192,7 @@
         }
     }
 
-    private record Relay(String asker, int number, double until) { }
+    private record Relay(String asker, int number, double until, double nackAt) { }
 
     private final Settings settings;
     private final Identity identity;
@@ -206,7 +228,7 @@
         this.identity = identity;
         this.random = new SplittableRandom(seed);
         this.nonce = random.nextLong() | 1;
-        this.swim = new Swim(new Member(identity.name(), settings.address(), 0, Status.ALIVE), settings.seeds(), random);
+        this.swim = new Swim(new Member(identity.name(), settings.address(), 0, Status.ALIVE), settings.seeds(), random, settings.healthMost());
         this.bytes = new Bucket(settings.bytesPerS(), Math.min(MOST_BURST, settings.bytesPerS() / 2.0));
         this.members = new Bucket((1 - STRANGERS) * settings.verificationsPerS(), (1 - STRANGERS) * settings.verificationsPerS() / 2);
         this.strangers = new Bucket(STRANGERS * settings.verificationsPerS(), STRANGERS * settings.verificationsPerS() / 2);
@@ -217,6 +239,27 @@
         return swim.table();
     }
 
+    /** Everyone that is known, this proxy first, with when each was heard and who suspects it. */
+    public List<Seen> seen(double now) {
+        return swim.table().stream().map(m -> m.name().equals(identity.name()) ? new Seen(m, 0, List.of())
+                : new Seen(m, swim.heardAgoMs(now, m.name()), m.status() == Status.SUSPECT ? swim.accusers(m.name()) : List.of())).toList();
+    }
+
+    /** The local health score, 0 to {@link Settings#healthMost}: 0 while its own probes are answered. */
+    public int health() {
+        return swim.health();
+    }
+
+    /** Whether nobody has answered it for long, so that it has stepped down. */
+    public boolean steppedDown() {
+        return swim.isolated();
+    }
+
+    /** How often its process was seen to stand still. */
+    public long stalls() {
+        return swim.stalls();
+    }
+
     /** How far a member is believed, 0 to 1; 1 for this proxy itself. */
     public double weight(double now, String name) {
         return name.equals(identity.name()) ? 1 : evidence.weight(now, name);
@@ -266,7 +309,16 @@
         swim.tick(now, wires(now, out));
         int proxies = review(now, out);
         relays.values().removeIf(r -> now >= r.until());
-        List<Claim> own = left ? null : evidence.toTell(now, proxies);
+        for (Map.Entry<Integer, Relay> e : List.copyOf(relays.entrySet())) {
+            Relay r = e.getValue();
+            Member asker = now >= r.nackAt() ? swim.find(r.asker()) : null;
+            if (asker != null) {
+                relays.put(e.getKey(), new Relay(r.asker(), r.number(), r.until(), Double.POSITIVE_INFINITY));
+                transmit(now, asker.address(), asker.name(), message(now, Kind.NACK, r.number(), null, asker.name()), out);
+            }
+        }
+        // One that is cut off sees every node fail alike: what it would say is of its own link.
+        List<Claim> own = left || swim.isolated() ? null : evidence.toTell(now, proxies);
         if (own != null) {
             state(now, own);
         }
@@ -344,20 +396,35 @@
             public void changed(Member before, Member after) {
                 memberChanged(before, after, out);
             }
+
+            @Override
+            public void refuted(Member news) {
+                out.event(What.REFUTED, identity.name(), "said:" + news.status().name().toLowerCase(Locale.ROOT) + " by:"
+                        + (news.by().isEmpty() ? "-" : news.by()) + " incarnation:" + news.incarnation() + " now:" + swim.self().incarnation());
+            }
+
+            @Override
+            public void stepped(boolean down, String evidenceOf) {
+                out.event(down ? What.STEPPED_DOWN : What.STEPPED_UP, identity.name(), evidenceOf);
+            }
         };
     }
 
     private void memberChanged(Member before, Member after, Actions out) {
+        boolean confirmation = before != null && before.status() == Status.SUSPECT && after.status() == Status.SUSPECT
+                && before.incarnation() == after.incarnation();
         memberNews.put(after.name(), new News(2 + copies()));
-        unsaid = true;
+        // A confirmation rides on probes alone: a packet of news for each would multiply what a flood of one costs.
+        unsaid |= !confirmation;
         if (after.name().equals(identity.name())) {
             return;
         }
         String evidenceOf = "incarnation:" + after.incarnation() + " address:" + after.address();
+        evidence.suspected(after.name(), after.status() == Status.SUSPECT);
         if (after.status() == Status.ALIVE && (before == null || before.status() != Status.ALIVE)) {
             out.event(What.MEMBER, after.name(), evidenceOf);
-        } else if (after.status() == Status.SUSPECT) {
-            out.event(What.SUSPECTED, after.name(), evidenceOf);
+        } else if (after.status() == Status.SUSPECT && (before == null || before.status() != Status.SUSPECT)) {
+            out.event(What.SUSPECTED, after.name(), evidenceOf + " by:" + after.by());
         } else if (!after.present()) {
             evidence.gone(after.name());
             statements.computeIfPresent(after.name(), (n, h) -> new Held(h.statement(), h.madeAt(), h.madeAt()));
@@ -373,10 +440,17 @@
         return new Message(kind, number, about, swim.digest(), membersToTell(now, to), toTell(now));
     }
 
-    /** News of members, the least told first; to one that holds another table, a part of ours too. */
+    /**
+     * News of members, the least told first; to one that holds another table, a part of ours too. One that is suspected hears
+     * so first, so that it can refute (Lifeguard's buddy system).
+     */
     private List<Member> membersToTell(double now, String to) {
         List<Member> tell = new ArrayList<>();
         tell.add(swim.self());
+        Member receiver = swim.find(to);
+        if (receiver != null && receiver.status() == Status.SUSPECT) {
+            tell.add(receiver);
+        }
         memberNews.values().removeIf(n -> n.left <= 0);
         memberNews.entrySet().stream().sorted(Comparator.comparingInt(e -> -e.getValue().left)).limit(16).forEach(e -> {
             Member m = e.getKey().equals(identity.name()) ? null : swim.find(e.getKey());
@@ -593,6 +667,7 @@
 
     private void accept(double now, String address, Session s, Message m, Actions out) {
         Swim.Out wires = wires(now, out);
+        swim.heard(now, s.name);
         for (Member member : m.members()) {
             boolean itself = member.name().equals(s.name);
             // A name that no key belongs to is nobody's; an address is believed from its own mouth alone.
@@ -600,7 +675,9 @@
             boolean sane = itself || known == null || member.incarnation() - known.incarnation() <= MOST_AHEAD;
             if (sane && identity.knows(member.name(), Identity.ANY_KEY)) {
                 String where = itself ? address : known != null && known.present() ? known.address() : member.address();
-                swim.take(now, new Member(member.name(), where, member.incarnation(), member.status()), wires);
+                // A suspicion counts for one that holds a key; one that names nobody is the sender's own.
+                String by = member.status() != Status.SUSPECT ? "" : identity.knows(member.by(), Identity.ANY_KEY) ? member.by() : s.name;
+                swim.take(now, new Member(member.name(), where, member.incarnation(), member.status(), by), wires);
             }
         }
         for (Heard h : m.heard()) {
@@ -611,6 +688,7 @@
             case PING -> transmit(now, address, s.name, message(now, Kind.ACK, m.number(), null, s.name), out);
             case ACK -> acknowledged(now, s.name, m, out);
             case ASK -> relay(now, s.name, m, out);
+            case NACK -> swim.nacked(now, m.number(), wires);
             default -> { }
         }
     }
@@ -622,7 +700,7 @@
             Member about = swim.find(from);
             transmit(now, asker.address(), asker.name(), message(now, Kind.ACK, relay.number(), about, asker.name()), out);
         } else {
-            swim.answered(m.number(), m.about() == null ? from : m.about().name());
+            swim.answered(now, m.number(), m.about() == null ? from : m.about().name(), wires(now, out));
         }
     }
 
@@ -631,7 +709,7 @@
         Member target = m.about() == null ? null : swim.find(m.about().name());
         if (target != null && m.number() > 0) {
             int own = -(++relayed & Integer.MAX_VALUE);
-            relays.put(own, new Relay(asker, m.number(), now + Swim.PERIOD_MS));
+            relays.put(own, new Relay(asker, m.number(), now + Swim.PERIOD_MS * (1 + swim.health()), now + Swim.NACK_SHARE * swim.answerMs()));
             transmit(now, target.address(), target.name(), message(now, Kind.PING, own, null, target.name()), out);
         }
     }
--- a/src/main/java/hopglade/membership/Member.java
+++ b/src/main/java/hopglade/membership/Member.java
@@ -7,12 +7,17 @@
  * @param name        its name, 1 to 32 bytes; each proxy of a fleet has its own
  * @param address     where its packets go, {@code host:port}, at most 64 bytes
  * @param incarnation raised by the proxy itself alone, to refute what others say of it
+ * @param by          of a suspicion, the member that holds it, so that independent ones can be counted (Lifeguard); empty else
  */
-public record Member(String name, String address, int incarnation, Status status) {
+public record Member(String name, String address, int incarnation, Status status, String by) {
 
     /** In the order in which one overrides another of the same incarnation. */
     public enum Status { ALIVE, SUSPECT, DEAD, LEFT }
 
+    public Member(String name, String address, int incarnation, Status status) {
+        this(name, address, incarnation, status, "");
+    }
+
     boolean overrides(Member other) {
         return incarnation != other.incarnation ? incarnation > other.incarnation : status.compareTo(other.status) > 0;
     }
@@ -23,6 +28,10 @@
     }
 
     Member with(Status next) {
-        return new Member(name, address, incarnation, next);
+        return new Member(name, address, incarnation, next, "");
+    }
+
+    Member suspectedBy(String accuser) {
+        return new Member(name, address, incarnation, Status.SUSPECT, accuser);
     }
 }
--- a/src/main/java/hopglade/membership/Message.java
+++ b/src/main/java/hopglade/membership/Message.java
@@ -17,7 +17,9 @@
         PING, ACK,
         /** Asks for a ping of {@code about}. */
         ASK,
-        NEWS
+        NEWS,
+        /** A relay's word that the member that it was asked to ping did not answer it in time. */
+        NACK
     }
 
     /** A statement and its age so far, as summed up by those that passed it on, each by its own clock. */
--- a/src/main/java/hopglade/membership/Swim.java
+++ b/src/main/java/hopglade/membership/Swim.java
@@ -2,29 +2,58 @@
 
 import hopglade.membership.Member.Status;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 
 /**
  * Who is there: each period one member is pinged, in an order drawn anew for each round; one that does not answer is asked
- * after by others, then suspected, and taken for dead unless it refutes the suspicion by a higher incarnation (SWIM). Members
- * that died, and seeds, are pinged again now and then, so that the parts of a fleet that was cut in two find one another.
+ * after by others, then suspected, and taken for dead unless it refutes the suspicion by a higher incarnation (SWIM, Das, Gupta and
+ * Motivala 2002). Members that died, and seeds, are called now and then, so that the parts of a fleet that was cut in two find one
+ * another.
+ *
+ * <p>After Lifeguard (Dadgar, Phillips and Currey 2018): a local health score from 0 to {@code healthMost} rises with each probe
+ * that went unanswered, each relay that sent no negative answer and each suspicion of itself that it had to refute, falls with each
+ * answered probe, and stretches its own period and wait by {@code 1 + health}, so that a proxy that is slow itself accuses late. A
+ * suspicion lasts from six times its least down to the least, {@code 3 · period · max(1, log10 n)}, as independent members confirm
+ * it; one that hears of a suspicion probes the suspect next, and tells it. Beyond the paper: time in which the process stood still
+ * (a gap between calls above {@link #STALL_MS}) counts for no timer, and a proxy whose probes nobody has answered, directly, through
+ * others or by a negative answer, for {@link #ISOLATED_MS} of its own time is cut off: it steps down, starts no suspicion and ends
+ * none for {@link #HOLD_MS}, until any answer comes.
+ *
+ * <p>All times are this proxy's own milliseconds, which never run back; none is compared with another proxy's.
  */
 final class Swim {
 
-    static final double PERIOD_MS = 1000;
+    static final double PERIOD_MS = 500;
     /** How long an answer may take before others are asked. */
-    static final double ANSWER_MS = 300;
+    static final double ANSWER_MS = 200;
+    /** Of the wait, the part after which a relay that heard nothing says so (Lifeguard's nack, 80%). */
+    static final double NACK_SHARE = 0.8;
     /** Others that are asked after one that is silent. */
     static final int ASKED = 3;
-    /** Periods of suspicion, for each doubling of the fleet. */
+    /** A gap between two calls that is longer was a pause of the process; it counts as this much. */
+    static final double STALL_MS = 300;
+    /** No answer of any kind for so long, with two others at least, and this proxy is cut off. */
+    static final double ISOLATED_MS = 3000;
+    /** Longest that a cut-off proxy holds back deaths: a fleet that truly died around it is let go then. */
+    static final double HOLD_MS = 60_000;
+    /** Periods of the least suspicion, for each power of ten of the fleet (memberlist's 4 at a period of 1 s, Lifeguard's α). */
     private static final double SUSPECT_PERIODS = 2;
-    /** Every so many periods one that is gone, or a seed, is pinged. */
-    private static final int RECALL_PERIODS = 3;
-    /** Periods that a death is remembered, so that older news of that life is known as such. */
-    private static final double REMEMBER_PERIODS = 600;
+    /** The longest over the least (Lifeguard's β). */
+    private static final double SUSPECT_MOST_TIMES = 6;
+    /** Independent confirmations after which the least holds (Lifeguard's K; memberlist's 4 - 2). */
+    private static final int CONFIRMATIONS = 2;
+    /** Accusers that are kept of one suspicion. */
+    private static final int MOST_ACCUSERS = 8;
+    /** One that is gone, or a seed, is called so often. */
+    private static final double RECALL_MS = 3000;
+    /** How long a death is remembered, so that older news of that life is known as such. */
+    private static final double REMEMBER_MS = 600_000;
 
     /** What it wants sent, and what it has found. */
     interface Out {
@@ -36,36 +65,58 @@
         void call(String address);
 
         void changed(Member before, Member now);
+
+        /** It had to raise its incarnation: {@code news} said otherwise of it. */
+        void refuted(Member news);
+
+        /** It is cut off and steps down, or is heard again. */
+        void stepped(boolean down, String evidence);
     }
 
     private static final class Peer {
         Member member;
         double since;
+        double heardAt;
+        final Set<String> accusers = new LinkedHashSet<>();
 
         Peer(Member member, double now) {
             this.member = member;
             this.since = now;
+            this.heardAt = now;
         }
     }
 
     private final List<String> seeds;
     private final SplittableRandom random;
+    private final int healthMost;
     private final Map<String, Peer> peers = new TreeMap<>();
     private Member self;
     private List<String> round = new ArrayList<>();
+    private double lastNow = Double.NaN;
+    private double awake;
     private double nextPeriod;
-    private int periods;
+    private double nextRecall;
     private int number;
     private String probed;
     private double probedAt;
     private boolean asked;
     private boolean answered = true;
+    private int nacksAsked;
+    private int nacks;
+    private int health;
+    private double heardBackAt;
+    private int unheardProbes;
+    private boolean isolated;
+    private double isolatedAt;
     private long digest;
+    private long stalls;
 
-    Swim(Member self, List<String> seeds, SplittableRandom random) {
+    /** @param healthMost the highest local health score; 0 holds timeouts as they are */
+    Swim(Member self, List<String> seeds, SplittableRandom random, int healthMost) {
         this.self = self;
         this.seeds = seeds.stream().filter(s -> !s.equals(self.address())).toList();
         this.random = random;
+        this.healthMost = healthMost;
         digest = hash(self);
     }
 
@@ -96,6 +147,33 @@
         return digest;
     }
 
+    /** The local health score, 0 while all is well. */
+    int health() {
+        return health;
+    }
+
+    /** Whether it is cut off and has stepped down. */
+    boolean isolated() {
+        return isolated;
+    }
+
+    /** How often the process was seen to stand still. */
+    long stalls() {
+        return stalls;
+    }
+
+    /** Milliseconds of its own awake time since a packet of this member was last taken; -1 for one unknown. */
+    double heardAgoMs(double now, String name) {
+        Peer p = peers.get(name);
+        return p == null ? -1 : awake(now) - p.heardAt;
+    }
+
+    /** Who holds the suspicion of a member, as far as told here. */
+    List<String> accusers(String name) {
+        Peer p = peers.get(name);
+        return p == null ? List.of() : List.copyOf(p.accusers);
+    }
+
     private static long hash(Member m) {
         // Suspicion comes and goes too often to be made good by tables.
         long h = m.incarnation() * 0x9e3779b97f4a7c15L + (m.present() ? 1 : 2);
@@ -105,47 +183,97 @@
         return (h ^ (h >>> 29)) * 0xbf58476d1ce4e5b9L;
     }
 
+    /** Time that counts: the own clock, less what passed while the process stood still. */
+    private double awake(double now) {
+        if (Double.isNaN(lastNow)) {
+            lastNow = now;
+        }
+        double gap = Math.max(0, now - lastNow);
+        lastNow = Math.max(lastNow, now);
+        if (gap > STALL_MS) {
+            stalls++;
+            gap = STALL_MS;
+            // What was asked before the pause is void: the answer may wait in the socket, and the fault was ours.
+            answered = true;
+            asked = true;
+            well(+1);
+        }
+        awake += gap;
+        return awake;
+    }
+
+    private void well(int change) {
+        health = Math.max(0, Math.min(healthMost, health + change));
+    }
+
+    private double period() {
+        return PERIOD_MS * (1 + health);
+    }
+
+    /** How long this proxy waits for an answer now; a relay says no after {@link #NACK_SHARE} of it. */
+    double answerMs() {
+        return ANSWER_MS * (1 + health);
+    }
+
     void start(double now, Out out) {
-        nextPeriod = now + random.nextDouble() * PERIOD_MS;
+        double at = awake(now);
+        nextPeriod = at + random.nextDouble() * PERIOD_MS;
+        nextRecall = at + RECALL_MS;
+        heardBackAt = at;
         seeds.forEach(out::call);
     }
 
     void tick(double now, Out out) {
-        if (!answered && !asked && now - probedAt >= ANSWER_MS) {
+        double at = awake(now);
+        if (!answered && !asked && at - probedAt >= answerMs()) {
             asked = true;
             Member target = find(probed);
             for (Member via : target == null ? List.<Member>of() : some(ASKED, probed)) {
+                nacksAsked++;
                 out.ask(via, target, number);
             }
         }
-        if (now >= nextPeriod) {
-            nextPeriod = Math.max(now, nextPeriod + PERIOD_MS);
-            endPeriod(now, out);
-            age(now, out);
-            beginPeriod(now, out);
+        if (at >= nextPeriod) {
+            nextPeriod = Math.max(at, nextPeriod + period());
+            endPeriod(at, out);
+            age(at, out);
+            beginPeriod(at, out);
+        }
+        step(at, out);
+    }
+
+    /** A probe that failed starts a suspicion, or confirms one that others hold. */
+    private void accuse(double at, Member target, Out out) {
+        if (target != null && target.present() && !isolated) {
+            apply(at, target.suspectedBy(self.name()), out);
         }
     }
 
-    private void endPeriod(double now, Out out) {
-        Member target = answered ? null : find(probed);
-        if (target != null && target.status() == Status.ALIVE) {
-            take(now, target.with(Status.SUSPECT), out);
+    private void endPeriod(double at, Out out) {
+        if (!answered) {
+            well(+1);
+            // Lifeguard: a relay that said nothing at all points at our own link.
+            well(nacks < nacksAsked ? +1 : 0);
+            accuse(at, find(probed), out);
         }
         answered = true;
     }
 
-    private void beginPeriod(double now, Out out) {
-        periods++;
-        if (others().isEmpty() || periods % RECALL_PERIODS == 0) {
+    private void beginPeriod(double at, Out out) {
+        if (others().isEmpty() || at >= nextRecall) {
+            nextRecall = at + RECALL_MS;
             recall(out);
         }
         Member target = next();
         if (target != null) {
             number++;
             probed = target.name();
-            probedAt = now;
+            probedAt = at;
             answered = false;
             asked = false;
+            nacksAsked = 0;
+            nacks = 0;
+            unheardProbes++;
             out.ping(target, number);
         }
     }
@@ -184,57 +312,160 @@
         return drawn;
     }
 
-    private void age(double now, Out out) {
-        double patience = PERIOD_MS * SUSPECT_PERIODS * Math.max(1, Math.log(peers.size() + 1) / Math.log(2));
+    /** How long a suspicion lasts with so many independent confirmations beyond the first (Lifeguard, section 4.2). */
+    double suspicionMs(int confirmations) {
+        int members = others().size() + 1;
+        double least = SUSPECT_PERIODS * PERIOD_MS * Math.max(1, Math.log10(members));
+        double most = SUSPECT_MOST_TIMES * least;
+        int expected = Math.min(CONFIRMATIONS, members - 2);
+        if (expected < 1) {
+            return least;
+        }
+        double part = Math.log(Math.min(confirmations, expected) + 1) / Math.log(expected + 1);
+        return Math.max(least, most - (most - least) * part);
+    }
+
+    private void age(double at, Out out) {
+        boolean holds = isolated && at - isolatedAt < HOLD_MS;
         for (Peer p : List.copyOf(peers.values())) {
-            if (p.member.status() == Status.SUSPECT && now - p.since >= patience) {
-                take(now, p.member.with(Status.DEAD), out);
-            } else if (!p.member.present() && now - p.since >= PERIOD_MS * REMEMBER_PERIODS) {
+            if (p.member.status() == Status.SUSPECT && !holds && at - p.since >= suspicionMs(p.accusers.size() - 1)) {
+                apply(at, p.member.with(Status.DEAD), out);
+            } else if (!p.member.present() && at - p.since >= REMEMBER_MS) {
                 digest ^= hash(p.member);
                 peers.remove(p.member.name());
             }
         }
     }
 
+    /** Steps down once nothing has answered for long, and up at the first answer. */
+    private void step(double at, Out out) {
+        boolean cut = others().size() >= 2 && unheardProbes >= 1 && at - heardBackAt >= ISOLATED_MS;
+        if (cut && !isolated) {
+            isolated = true;
+            isolatedAt = at;
+            withdraw(out);
+            out.stepped(true, String.format(Locale.ROOT, "unanswered_ms:%.0f probes:%d health:%d", at - heardBackAt, unheardProbes, health));
+        } else if (!cut && isolated) {
+            isolated = false;
+            out.stepped(false, String.format(Locale.ROOT, "down_ms:%.0f health:%d", at - isolatedAt, health));
+        }
+    }
+
+    /** Suspicions that this proxy alone holds are its own link's fault: they are taken back. */
+    private void withdraw(Out out) {
+        for (Peer p : peers.values()) {
+            if (p.member.status() == Status.SUSPECT && p.accusers.equals(Set.of(self.name()))) {
+                Member before = p.member;
+                digest ^= hash(before);
+                p.member = before.with(Status.ALIVE);
+                p.accusers.clear();
+                digest ^= hash(p.member);
+                out.changed(before, p.member);
+            }
+        }
+    }
+
+    private void heardBack(double at) {
+        heardBackAt = at;
+        unheardProbes = 0;
+    }
+
     /** An answer to a probe has come, from the member itself or by way of another. */
-    void answered(int probe, String from) {
-        if (probe == number && from.equals(probed)) {
+    void answered(double now, int probe, String from, Out out) {
+        double at = awake(now);
+        if (probe == number && from.equals(probed) && !answered) {
             answered = true;
+            well(-1);
+            heardBack(at);
+            step(at, out);
+        }
+    }
+
+    /** A relay says that the member that it was asked to ping gave it no answer; it proves our own link. */
+    void nacked(double now, int probe, Out out) {
+        double at = awake(now);
+        if (probe == number) {
+            nacks++;
+            heardBack(at);
+            step(at, out);
+        }
+    }
+
+    /** A packet of a member has been taken. */
+    void heard(double now, String name) {
+        Peer p = peers.get(name);
+        if (p != null) {
+            p.heardAt = awake(now);
         }
     }
 
     /**
      * News of a member; returns whether it was new here. News of ourselves that is wrong is refuted: this raises the
-     * incarnation past it.
+     * incarnation past it. A suspicion that is held already counts once more for each member that holds it too.
      */
     boolean take(double now, Member news, Out out) {
+        return apply(awake(now), news, out);
+    }
+
+    private boolean apply(double at, Member news, Out out) {
         if (news.name().equals(self.name())) {
-            boolean wrong = news.incarnation() > self.incarnation()
-                    || news.incarnation() == self.incarnation() && news.status() != Status.ALIVE && self.status() == Status.ALIVE;
-            if (wrong && news.incarnation() < Integer.MAX_VALUE) {
-                Member before = self;
-                become(new Member(self.name(), self.address(), news.incarnation() + 1, self.status()));
-                out.changed(before, self);
-            }
-            return wrong;
+            return refute(news, out);
         }
         Peer known = peers.get(news.name());
+        if (known != null && news.status() == Status.SUSPECT && known.member.status() == Status.SUSPECT
+                && news.incarnation() == known.member.incarnation()) {
+            return confirm(known, news, out);
+        }
         if (known != null && !news.overrides(known.member) || known == null && !news.present()) {
             return false;
         }
         Member before = known == null ? null : known.member;
         if (known == null) {
-            peers.put(news.name(), new Peer(news, now));
+            known = new Peer(news, at);
+            peers.put(news.name(), known);
         } else {
             digest ^= hash(known.member);
             known.member = news;
-            known.since = now;
+            known.since = at;
+        }
+        known.accusers.clear();
+        if (news.status() == Status.SUSPECT) {
+            known.accusers.add(news.by().isEmpty() ? self.name() : news.by());
+            if (!news.by().equals(self.name())) {
+                // Its own probe confirms it, or tells it of the suspicion in time to refute: it comes next, in place of its turn.
+                round.remove(news.name());
+                round.add(news.name());
+            }
         }
         digest ^= hash(news);
         out.changed(before, news);
         return true;
     }
 
+    private boolean refute(Member news, Out out) {
+        boolean wrong = news.incarnation() > self.incarnation()
+                || news.incarnation() == self.incarnation() && news.status() != Status.ALIVE && self.status() == Status.ALIVE;
+        if (wrong && news.incarnation() < Integer.MAX_VALUE) {
+            Member before = self;
+            become(new Member(self.name(), self.address(), news.incarnation() + 1, self.status()));
+            well(+1);
+            out.refuted(news);
+            out.changed(before, self);
+        }
+        return wrong;
+    }
+
+    private boolean confirm(Peer known, Member news, Out out) {
+        if (news.by().isEmpty() || known.accusers.contains(news.by()) || known.accusers.size() >= MOST_ACCUSERS) {
+            return false;
+        }
+        known.accusers.add(news.by());
+        Member before = known.member;
+        known.member = news;
+        out.changed(before, news);
+        return true;
+    }
+
     /** Tells that this proxy is leaving. */
     void leave() {
         become(self.with(Status.LEFT));
--- a/src/main/java/hopglade/membership/Wire.java
+++ b/src/main/java/hopglade/membership/Wire.java
@@ -21,7 +21,8 @@
     static final int MOST_ADDRESS = 64;
     static final int MOST_NODE = 64;
     private static final int MAGIC = 0x464c;
-    private static final int VERSION = 1;
+    /** 2: members carry who suspects them, and relays answer no (Lifeguard). */
+    private static final int VERSION = 2;
     private static final int MOST_AGE_MS = 0xffff;
     private static final int MOST_COUNT = 0xff;
 
@@ -99,15 +100,16 @@
         return 2 + signed(s).length + Identity.SIGNATURE_BYTES;
     }
 
-    /** How many bytes a member takes in a packet: two texts, an incarnation and a status. */
+    /** How many bytes a member takes in a packet: three texts, an incarnation and a status. */
     static int bytes(Member m) {
-        return m.name().length() + m.address().length() + 7;
+        return m.name().length() + m.address().length() + m.by().length() + 8;
     }
 
     private static void member(ByteBuffer out, Member m) {
         text(out, m.name());
         text(out, m.address());
         out.putInt(m.incarnation()).put((byte) m.status().ordinal());
+        text(out, m.by());
     }
 
     private static void text(ByteBuffer out, String text) {
@@ -172,7 +174,8 @@
         String address = text(in, 1, MOST_ADDRESS);
         int incarnation = in.getInt();
         check(incarnation >= 0);
-        return new Member(name, address, incarnation, of(Member.Status.values(), in.get()));
+        Member.Status status = of(Member.Status.values(), in.get());
+        return new Member(name, address, incarnation, status, text(in, 0, MOST_NAME));
     }
 
     private static String text(ByteBuffer in, int least, int most) {
--- a/src/test/java/hopglade/gossip/KeysTest.java
+++ b/src/test/java/hopglade/gossip/KeysTest.java
@@ -52,7 +52,7 @@
             this.name = name;
             List<String> seeds = members.isEmpty() ? List.of() : List.of(members.get(0).socket.address());
             socket = GossipSocket.open(group.next(), () -> (System.nanoTime() - from) / 1e6, name.hashCode(),
-                    new Options.Gossip(true, "127.0.0.1:0", "", seeds, key(name).toString(), ring().toString(), 65_536, 1000, membersSocket), this);
+                    new Options.Gossip(true, "127.0.0.1:0", "", seeds, key(name).toString(), ring().toString(), 65_536, 1000, membersSocket, 8), this);
             Node node = new Node("node-0", "std", "a", 0, 1, 0, Availability.UP);
             on(() -> socket.listed(ListKind.FULL, List.of(node)));
             members.add(this);
@@ -149,7 +149,7 @@
         Member tres = members.get(2);
         await("all know all", () -> members.stream().allMatch(m -> List.of("uno", "dos", "tres").stream().allMatch(n -> m.knows(n, "alive"))));
         assertEquals(0, flintmill("members", folder.resolve("members").toString()));
-        assertEquals(3, MembersSocket.ask(folder.resolve("members")).lines().count());
+        assertEquals(4, MembersSocket.ask(folder.resolve("members")).lines().count(), "a head and a line for each");
         assertEquals("rw-------", PosixFilePermissions.toString(Files.getPosixFilePermissions(folder.resolve("members"))));
         // Step by step, with a suspicion sent in between: it must arrive under the old key, both, and the new one.
         for (String[] step : new String[][] {{}, {"--use"}, {"--drop"}}) {
@@ -192,7 +192,7 @@
         assertEquals("rw-------", PosixFilePermissions.toString(Files.getPosixFilePermissions(key("uno"))));
         Files.setPosixFilePermissions(key("uno"), PosixFilePermissions.fromString("rw-r-----"));
         assertEquals(2, keys("check", "uno"));
-        Options.Gossip options = new Options.Gossip(true, "127.0.0.1:0", "", List.of(), key("uno").toString(), ring().toString(), 4096, 100, "");
+        Options.Gossip options = new Options.Gossip(true, "127.0.0.1:0", "", List.of(), key("uno").toString(), ring().toString(), 4096, 100, "", 8);
         KeyException refused = assertThrows(KeyException.class, () -> GossipSocket.open(group.next(), () -> 0, 1, options, new GossipSocket.Hooks() {
             @Override
             public void standing(String node, boolean doubted) { }
--- a/src/test/java/hopglade/membership/Town.java
+++ b/src/test/java/hopglade/membership/Town.java
@@ -20,7 +20,7 @@
     static final double DELAY_MS = 2;
     static final int BYTES_PER_S = 8192;
 
-    record Told(String by, What what, String subject, String evidence) { }
+    record Told(String by, What what, String subject, String evidence, double at) { }
 
     record Sent(double at, String from, String to, byte[] packet) { }
 
@@ -39,13 +39,15 @@
         final double pace;
         final Set<String> doubted = new HashSet<>();
         boolean dead;
+        /** Until when its process stands still, as under SIGSTOP: no timer runs, and packets wait in its socket. */
+        double pausedUntil;
 
         Proxy(String name, String address, String seed, double ahead, double pace) {
             this.name = name;
             this.address = address;
             this.ahead = ahead;
             this.pace = pace;
-            gossip = new Gossip(new Gossip.Settings(address, List.of(seed), BYTES_PER_S, 400), new HashIdentity(name, strangers), random.nextLong());
+            gossip = new Gossip(new Gossip.Settings(address, List.of(seed), BYTES_PER_S, 400, Gossip.Settings.HEALTH_MOST), new HashIdentity(name, strangers), random.nextLong());
             gossip.nodes(clock(), nodes, this);
             gossip.start(clock(), this);
             tick();
@@ -56,7 +58,9 @@
         }
 
         private void tick() {
-            if (!dead) {
+            if (!dead && now < pausedUntil) {
+                in(pausedUntil - now, this::tick);
+            } else if (!dead) {
                 gossip.tick(clock(), this);
                 in(Gossip.TICK_MS, this::tick);
             }
@@ -89,7 +93,7 @@
 
         @Override
         public void event(What what, String subject, String evidence) {
-            told.add(new Told(name, what, subject, evidence));
+            told.add(new Told(name, what, subject, evidence, now));
         }
     }
 
@@ -134,6 +138,11 @@
         return proxy;
     }
 
+    /** It stands still for so long, as under SIGSTOP. */
+    void pause(Proxy proxy, double ms) {
+        proxy.pausedUntil = now + ms;
+    }
+
     void kill(Proxy proxy) {
         proxy.dead = true;
         proxies.remove(proxy);
@@ -159,7 +168,9 @@
 
     void deliver(String from, String to, byte[] packet) {
         Proxy proxy = at.get(to);
-        if (proxy != null && !proxy.dead) {
+        if (proxy != null && !proxy.dead && now < proxy.pausedUntil) {
+            in(proxy.pausedUntil - now, () -> deliver(from, to, packet));
+        } else if (proxy != null && !proxy.dead) {
             proxy.gossip.received(proxy.clock(), from, packet, proxy);
         }
     }
