--- a/src/test/java/hopglade/proxy/HandoverTest.java
+++ b/src/test/java/hopglade/proxy/HandoverTest.java
@@ -51,9 +51,7 @@
 
     private void hold(Site site) throws Exception {
         Path config = temp.resolve("config.json");
-        Files.writeString(config, "{\"name\":\"n0\",\"listen\":\"127.0.0.1:1\",\"discovery\":\"" + site.discovery.dial()
-                + "\",\"known\":" + Site.list(7, true, Site.host("c0", site.node.dial(), "up", 0)) + ",\"settings\":"
-                + Site.SETTINGS.formatted("automatic", "60000") + "}");
+        Files.writeString(config, site.json("automatic", "60000", ""));
         ProcessBuilder builder = new ProcessBuilder("perl", "-e", HOLDER).redirectErrorStream(true);
         builder.environment().put("BALANCER_CONFIG", config.toString());
         builder.environment().put("BALANCER_PASSED_SOCKET", "0");
@@ -85,9 +83,8 @@
     }
 
     private static int call(InetSocketAddress admin, String line) {
-        try (Peer.Wire operator = Peer.connect(admin)) {
-            operator.write(line + " HTTP/1.1\r\nHost: a\r\n\r\n");
-            return Site.status(operator.read());
+        try {
+            return Site.status(Peer.call(admin, line));
         } catch (IOException e) {
             return -1;
         }
--- a/src/test/java/hopglade/proxy/OperationsTest.java
+++ b/src/test/java/hopglade/proxy/OperationsTest.java
@@ -48,12 +48,7 @@
     }
 
     private static String call(Service service, String line) throws IOException {
-        try (Peer.Wire operator = Peer.connect(service.adminListening())) {
-            operator.write(line + " HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
-            String answer = operator.read();
-            assertNull(operator.read(), "one call to a connection");
-            return answer;
-        }
+        return Peer.call(service.adminListening(), line);
     }
 
     private int status(String line) throws IOException {
--- a/src/test/java/hopglade/proxy/Peer.java
+++ b/src/test/java/hopglade/proxy/Peer.java
@@ -1,6 +1,7 @@
 package hopglade.proxy;
 
-import java.io.ByteArrayOutputStream;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
 import java.io.Closeable;
 import java.io.IOException;
 import java.io.InputStream;
@@ -51,15 +52,10 @@
         /** Reads one message with its body; null when the other side has closed. */
         String read() throws IOException {
             InputStream in = socket.getInputStream();
-            ByteArrayOutputStream head = new ByteArrayOutputStream();
-            while (!head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
-                int b = in.read();
-                if (b < 0) {
-                    return null;
-                }
-                head.write(b);
+            String text = until("\r\n\r\n", in);
+            if (text == null) {
+                return null;
             }
-            String text = head.toString(StandardCharsets.ISO_8859_1);
             String length = new Message(text, this).header("Content-Length");
             byte[] body = in.readNBytes(length == null ? 0 : Integer.parseInt(length));
             return text + new String(body, StandardCharsets.ISO_8859_1);
@@ -108,6 +104,29 @@
         return messages.isEmpty();
     }
 
+    /** Reads up to the end of some text; null when the other side has closed before. */
+    static String until(String end, InputStream in) throws IOException {
+        StringBuilder text = new StringBuilder();
+        while (text.length() < end.length() || !text.substring(text.length() - end.length()).equals(end)) {
+            int b = in.read();
+            if (b < 0) {
+                return null;
+            }
+            text.append((char) b);
+        }
+        return text.toString();
+    }
+
+    /** One call on an operators' address, and its answer. */
+    static String call(InetSocketAddress admin, String line) throws IOException {
+        try (Wire operator = connect(admin)) {
+            operator.write(line + " HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
+            String answer = operator.read();
+            assertNull(operator.read(), "one call to a connection");
+            return answer;
+        }
+    }
+
     static Wire connect(InetSocketAddress address) throws IOException {
         Socket socket = new Socket(address.getAddress(), address.getPort());
         socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(PATIENCE_S));
--- a/src/test/java/hopglade/proxy/Site.java
+++ b/src/test/java/hopglade/proxy/Site.java
@@ -41,10 +41,14 @@
     }
 
     Config config(String mode, String idleMs, String more) throws ConfigException {
-        return Config.parse("{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery.dial() + "\","
+        return Config.parse(json(mode, idleMs, more), environment);
+    }
+
+    String json(String mode, String idleMs, String more) {
+        return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery.dial() + "\","
                 + "\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + sockets + "}," + more
                 + "\"known\":" + list(7, true, hosts) + ",\"settings\":"
-                + SETTINGS.formatted(mode, idleMs) + "}", environment);
+                + SETTINGS.formatted(mode, idleMs) + "}";
     }
 
     static String list(long seq, boolean whole, String... hosts) {
--- a/src/test/java/hopglade/proxy/StreamingTest.java
+++ b/src/test/java/hopglade/proxy/StreamingTest.java
@@ -6,6 +6,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import hopglade.Router.Outcome;
+import io.netty.util.internal.PlatformDependent;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -91,25 +93,24 @@
     }
 
     private static String head(InputStream in) throws IOException {
-        StringBuilder head = new StringBuilder();
-        while (!head.toString().endsWith("\r\n\r\n")) {
-            int b = in.read();
-            if (b < 0) {
-                throw new IOException("closed");
-            }
-            head.append((char) b);
+        return until("\r\n\r\n", in);
+    }
+
+    private static String until(String end, InputStream in) throws IOException {
+        String text = Peer.until(end, in);
+        if (text == null) {
+            throw new IOException("closed");
         }
-        return head.toString();
+        return text;
     }
 
     private static String header(String head, String name) {
-        return head.lines().filter(l -> l.toLowerCase().startsWith(name + ":")).map(l -> l.substring(name.length() + 1).trim())
-                .findFirst().orElse(null);
+        return new Peer.Message(head, null).header(name);
     }
 
     /** Reads a body as its head says; throws where it breaks off. */
     private static byte[] body(String head, InputStream in) throws IOException {
-        var out = new java.io.ByteArrayOutputStream();
+        var out = new ByteArrayOutputStream();
         if ("chunked".equals(header(head, "transfer-encoding"))) {
             for (int size = chunk(in); size > 0; size = chunk(in)) {
                 out.write(exactly(in, size));
@@ -123,15 +124,7 @@
     }
 
     private static int chunk(InputStream in) throws IOException {
-        StringBuilder line = new StringBuilder();
-        while (!line.toString().endsWith("\r\n")) {
-            int b = in.read();
-            if (b < 0) {
-                throw new IOException("closed");
-            }
-            line.append((char) b);
-        }
-        return Integer.parseInt(line.toString().trim(), 16);
+        return Integer.parseInt(until("\r\n", in).trim(), 16);
     }
 
     private static byte[] exactly(InputStream in, int length) throws IOException {
@@ -170,7 +163,7 @@
         if (!form.equals("chunked")) {
             return body;
         }
-        var out = new java.io.ByteArrayOutputStream();
+        var out = new ByteArrayOutputStream();
         for (int at = 0; at < body.length; at += 70_001) {
             int size = Math.min(70_001, body.length - at);
             out.write((Integer.toHexString(size) + ";ext=\"a b\"\r\n").getBytes(StandardCharsets.US_ASCII));
@@ -225,13 +218,13 @@
             }
         };
         List<CompletableFuture<byte[]>> all = new ArrayList<>();
-        long heldBefore = io.netty.util.internal.PlatformDependent.usedDirectMemory();
+        long heldBefore = PlatformDependent.usedDirectMemory();
         for (int i = 0; i < readers; i++) {
             all.add(CompletableFuture.supplyAsync(() -> slowly(body.length, begun), r -> new Thread(r, "reader").start()));
         }
         long most = 0;
         while (!all.stream().allMatch(CompletableFuture::isDone)) {
-            most = Math.max(most, io.netty.util.internal.PlatformDependent.usedDirectMemory() - heldBefore);
+            most = Math.max(most, PlatformDependent.usedDirectMemory() - heldBefore);
             try (Peer.Wire small = site.client()) {
                 small.write(Site.put("Idempotency-Key: k\r\n", "v"));
                 assertEquals(503, Site.status(small.read()), "others are answered meanwhile");
