Let clients in only once discovery has spoken, or half a second later

Ruled out: late connections (connect_timeout_ms is 100), a watch that moved by SIGHUP (counts 4 s later), picks of nodes that are not up (relist leaves them out), lists that arrive late (all proxies within 30 ms of each push).

Change: the watch is opened first, and the clients' address after its first word, or after 500 ms where it says nothing. Rejected: taking connections and holding their requests, as their time runs from their last byte, which a proxy that does not read cannot know.

--- a/src/main/java/hopglade/proxy/Service.java
+++ b/src/main/java/hopglade/proxy/Service.java
@@ -40,6 +40,11 @@
     private static final long DRAIN_POLL_MS = 10;
     /** How long readiness waits for discovery: a list from the configuration serves if it says nothing. */
     private static final long FIRST_NEWS_MS = 2000;
+    /**
+     * How long the clients' address stays closed for discovery's first word. Discovery's agent may hold drains that are older than
+     * this process and count as told, so what comes before its word could go to a node that wants nothing new.
+     */
+    private static final long UNTOLD_MS = 500;
     /** A configuration with one of everything, at addresses that any machine has. */
     static final String REHEARSED = """
             {"name": "rehearsal", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:0", "seed": "1", "peer_listen": "127.0.0.1:0",
@@ -59,6 +64,7 @@
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final CountDownLatch ended = new CountDownLatch(1);
+    private final CountDownLatch told = new CountDownLatch(1);
     private final EventLoop loop = group.next();
     private final Config config;
     private final Proxy proxy;
@@ -94,7 +100,7 @@
         proxy = new Proxy(loop, clock, settings, router, pool, config.maxOpen());
         clients = new ClientServer(loop, proxy, settings, clientSockets);
         discovery = new Discovery(loop, config.discovery(), proxy, config.known(), !settings.mustSubscribe(),
-                clients::ready);
+                this::heard);
         peers = config.peerListen() == null ? null : new Peers(loop, config, proxy);
         proxy.wire(discovery::subscribe, peers == null ? contents -> { } : peers::tell);
     }
@@ -139,7 +145,12 @@
 
     /** Starts a proxy with the project's decisions. */
     public static Service start(Config config, Options options) throws IOException, InterruptedException, ConfigException {
-        return start(config, new Decide(config.settings(), config.seed()), options.gossip(), true);
+        return start(config, new Decide(config.settings(), config.seed()), options.gossip(), true, UNTOLD_MS);
+    }
+
+    /** For tests: opens the clients' address after so long at the latest. */
+    static Service start(Config config, Router router, long untoldMs) throws IOException, InterruptedException, ConfigException {
+        return start(config, router, Options.DEFAULTS.gossip(), false, untoldMs);
     }
 
     static Service start(Config config, Router router) throws IOException, InterruptedException, ConfigException {
@@ -147,10 +158,10 @@
     }
 
     static Service start(Config config, Router router, Options.Gossip gossip) throws IOException, InterruptedException, ConfigException {
-        return start(config, router, gossip, false);
+        return start(config, router, gossip, false, 0);
     }
 
-    private static Service start(Config config, Router router, Options.Gossip gossip, boolean warm)
+    private static Service start(Config config, Router router, Options.Gossip gossip, boolean warm, long untoldMs)
             throws IOException, InterruptedException, ConfigException {
         Service service = new Service(config, router);
         try {
@@ -164,7 +175,7 @@
             if (gossip.enabled()) {
                 service.join(gossip);
             }
-            service.open();
+            service.open(untoldMs);
         } catch (IOException | ConfigException e) {
             service.group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
             throw e;
@@ -178,7 +189,12 @@
         loop.submit(() -> proxy.watch(sharing)).sync();
     }
 
-    private void open() throws IOException, InterruptedException {
+    private void heard() {
+        clients.ready();
+        told.countDown();
+    }
+
+    private void open(long untoldMs) throws IOException, InterruptedException {
         Log.event("known", "version", config.known() == null ? 0 : config.known().version(),
                 "hosts", config.known() == null ? 0 : config.known().hosts().size());
         if (peers != null) {
@@ -191,9 +207,12 @@
                 operations.open();
             }
         }).sync();
+        loop.execute(discovery::start);
+        if (!config.settings().mustSubscribe() && !told.await(untoldMs, TimeUnit.MILLISECONDS)) {
+            Log.event("untold", "after_ms", untoldMs);
+        }
         ChannelFuture listens = passed == null ? clients.listen(Transport.TCP, config.listen()) : clients.listen(passed);
         listening = (InetSocketAddress) bound(listens, config.listen()).channel().localAddress();
-        loop.execute(discovery::start);
         long patience = config.settings().mustSubscribe() ? 0 : FIRST_NEWS_MS;
         loop.schedule(clients::ready, patience, TimeUnit.MILLISECONDS);
         tallyLater();
--- a/src/test/java/hopglade/proxy/DiscoveryTest.java
+++ b/src/test/java/hopglade/proxy/DiscoveryTest.java
@@ -2,11 +2,15 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import hopglade.Router.Availability;
 import hopglade.Router.ListKind;
 import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -111,6 +115,34 @@
         }
     }
 
+    /** What discovery holds when a process starts counts as told, so nothing may be taken before its first word. */
+    @Test
+    void clientsAreLetInOnlyOnceDiscoveryHasSpoken() throws Exception {
+        CompletableFuture<Void> starting = CompletableFuture.runAsync(() -> {
+            try {
+                site.service = Service.start(site.config("automatic", "60000", ""), site.router, TimeUnit.SECONDS.toMillis(Peer.PATIENCE_S));
+            } catch (Exception e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        Peer.Wire watch = watch(7);
+        watch.write(HEAD);
+        assertThrows(TimeoutException.class, () -> starting.get(300, TimeUnit.MILLISECONDS), "the clients' address is open");
+        line(watch, Site.list(9, false, Site.host("c0", site.node.dial(), "draining", 0)));
+        starting.get(Peer.PATIENCE_S, TimeUnit.SECONDS);
+        assertEquals(2, site.router.lists.size(), "the module knew of the drain before the first client");
+    }
+
+    @Test
+    void whereDiscoverySaysNothingClientsAreLetInAllTheSame() throws Exception {
+        site.service = Service.start(site.config("automatic", "60000", ""), site.router, 50);
+        try (Peer.Wire client = site.client()) {
+            client.write(site.get(Site.LONG_S));
+            site.node.next().wire().answer(200, "v");
+            assertEquals(200, Site.status(client.read()));
+        }
+    }
+
     @Test
     void whereItIsAskedABrokenWatchIsReportedAndTheRouterDecides() throws Exception {
         site.router.subscribes = true;
