Hold step-downs and repeated accusations to what the evidence shows

Causes and changes: - Step-down asked for 3 s without an answer, but at a bad health score probes are 4.5 s apart, so the next probe alone met it. Now three probes and 3 s since the first; a late answer counts; while nothing answers, probes go on once a second. Where two relays or more say nothing either, nobody is accused. - A member that refuted since the probe went out is not accused for that probe. - A failed probe that every relay answered for raises no health score (memberlist), so a crash does not slow the detection of the next. - One taken for dead is told so when it calls, not only one suspected; a process that wakes probes at once; suspicions end by the tick, not the period. - News of members alone needs room for itself in the ceiling, not for 1,200 bytes; near the ceiling probes and answers go without news.

--- a/src/main/java/hopglade/membership/Gossip.java
+++ b/src/main/java/hopglade/membership/Gossip.java
@@ -327,7 +327,7 @@
             boolean waits = false;
             for (Member m : swim.some(FANOUT, "")) {
                 // Waiting loses nothing; a packet that is made and can't be sent has used up its copies.
-                waits |= !bytes.has(now, Wire.MOST_BYTES + HEADERS, keptForProbes());
+                waits |= !bytes.has(now, newsBytes(m.name()) + HEADERS, keptForProbes());
                 if (!waits) {
                     transmit(now, m.address(), m.name(), new Message(Kind.NEWS, 0, null, swim.digest(), membersToTell(now, m.name()), toTell(now)), out);
                 }
@@ -336,6 +336,17 @@
         }
     }
 
+    /** What a packet of news to one would take at most; while it is of members alone, far less than the longest. */
+    private int newsBytes(String to) {
+        if (copiesLeft(statementNews)) {
+            return Wire.MOST_BYTES;
+        }
+        Session session = sessions.get(to);
+        List<Member> tell = new ArrayList<>(session != null && session.differs ? swim.table() : List.of(swim.self()));
+        memberNews.keySet().stream().map(swim::find).filter(m -> m != null).forEach(tell::add);
+        return Math.min(Wire.MOST_BYTES, Wire.MOST_ENVELOPE + tell.stream().mapToInt(Wire::bytes).sum());
+    }
+
     private static boolean copiesLeft(Map<String, News> news) {
         return news.values().stream().anyMatch(n -> n.left > 0);
     }
@@ -437,20 +448,26 @@
     }
 
     private Message message(double now, Kind kind, int number, Member about, String to) {
-        return new Message(kind, number, about, swim.digest(), membersToTell(now, to), toTell(now));
+        // Near the ceiling an answer without news beats none: one that wakes owes many at once, and is accused for each that it can't send.
+        boolean tight = !bytes.has(now, Wire.MOST_BYTES / 2.0, 0);
+        return tight ? new Message(kind, number, about, swim.digest(), itself(to), List.of())
+                : new Message(kind, number, about, swim.digest(), membersToTell(now, to), toTell(now));
     }
 
-    /**
-     * News of members, the least told first; to one that holds another table, a part of ours too. One that is suspected hears
-     * so first, so that it can refute (Lifeguard's buddy system).
-     */
-    private List<Member> membersToTell(double now, String to) {
+    /** This proxy, and the receiver where it is suspected or taken for dead: it hears so first, so that it can refute (Lifeguard's buddy system). */
+    private List<Member> itself(String to) {
         List<Member> tell = new ArrayList<>();
         tell.add(swim.self());
         Member receiver = swim.find(to);
-        if (receiver != null && receiver.status() == Status.SUSPECT) {
+        if (receiver != null && (receiver.status() == Status.SUSPECT || receiver.status() == Status.DEAD)) {
             tell.add(receiver);
         }
+        return tell;
+    }
+
+    /** News of members, the least told first; to one that holds another table, a part of ours too. */
+    private List<Member> membersToTell(double now, String to) {
+        List<Member> tell = itself(to);
         memberNews.values().removeIf(n -> n.left <= 0);
         memberNews.entrySet().stream().sorted(Comparator.comparingInt(e -> -e.getValue().left)).limit(16).forEach(e -> {
             Member m = e.getKey().equals(identity.name()) ? null : swim.find(e.getKey());
--- a/src/main/java/hopglade/membership/Swim.java
+++ b/src/main/java/hopglade/membership/Swim.java
@@ -17,12 +17,12 @@
  * another.
  *
  * <p>After Lifeguard (Dadgar, Phillips and Currey 2018): a local health score from 0 to {@code healthMost} rises with each probe
- * that went unanswered, each relay that sent no negative answer and each suspicion of itself that it had to refute, falls with each
+ * that went unanswered and that not every relay answered for, and with each suspicion of itself that it had to refute, falls with each
  * answered probe, and stretches its own period and wait by {@code 1 + health}, so that a proxy that is slow itself accuses late. A
  * suspicion lasts from six times its least down to the least, {@code 3 · period · max(1, log10 n)}, as independent members confirm
  * it; one that hears of a suspicion probes the suspect next, and tells it. Beyond the paper: time in which the process stood still
  * (a gap between calls above {@link #STALL_MS}) counts for no timer, and a proxy whose probes nobody has answered, directly, through
- * others or by a negative answer, for {@link #ISOLATED_MS} of its own time is cut off: it steps down, starts no suspicion and ends
+ * others or by a negative answer, three at least and for {@link #ISOLATED_MS} of its own time, is cut off: it steps down, starts no suspicion and ends
  * none for {@link #HOLD_MS}, until any answer comes.
  *
  * <p>All times are this proxy's own milliseconds, which never run back; none is compared with another proxy's.
@@ -30,16 +30,22 @@
 final class Swim {
 
     static final double PERIOD_MS = 500;
-    /** How long an answer may take before others are asked. */
-    static final double ANSWER_MS = 200;
+    /** Of a period, the part that an answer may take before others are asked. */
+    static final double ANSWER_SHARE = 0.4;
     /** Of the wait, the part after which a relay that heard nothing says so (Lifeguard's nack, 80%). */
     static final double NACK_SHARE = 0.8;
     /** Others that are asked after one that is silent. */
     static final int ASKED = 3;
     /** A gap between two calls that is longer was a pause of the process; it counts as this much. */
     static final double STALL_MS = 300;
-    /** No answer of any kind for so long, with two others at least, and this proxy is cut off. */
+    /** No answer of any kind for so long since a first probe without one, with two others at least, and this proxy is cut off. */
     static final double ISOLATED_MS = 3000;
+    /** Nor before so many probes: a proxy of bad health sends them seconds apart, and one or two are lost by chance. */
+    private static final int ISOLATED_PROBES = 3;
+    /** So many relays that were asked and say nothing at all are a sign of our own link. */
+    private static final int VOICES = 2;
+    /** An answer to one of so many probes proves that we are heard. */
+    private static final int HEARD_PROBES = 8;
     /** Longest that a cut-off proxy holds back deaths: a fleet that truly died around it is let go then. */
     static final double HOLD_MS = 60_000;
     /** Periods of the least suspicion, for each power of ten of the fleet (memberlist's 4 at a period of 1 s, Lifeguard's α). */
@@ -94,17 +100,19 @@
     private List<String> round = new ArrayList<>();
     private double lastNow = Double.NaN;
     private double awake;
-    private double nextPeriod;
+    private double periodAt;
     private double nextRecall;
     private int number;
     private String probed;
     private double probedAt;
+    private int probedIncarnation;
     private boolean asked;
     private boolean answered = true;
     private int nacksAsked;
     private int nacks;
     private int health;
-    private double heardBackAt;
+    /** When the first probe went out of those since the last answer of any kind, and how many have. */
+    private double unheardSince;
     private int unheardProbes;
     private boolean isolated;
     private double isolatedAt;
@@ -197,6 +205,8 @@
             answered = true;
             asked = true;
             well(+1);
+            // Others may hold it dead by now: its next probe brings that to light.
+            periodAt = Double.NEGATIVE_INFINITY;
         }
         awake += gap;
         return awake;
@@ -206,20 +216,20 @@
         health = Math.max(0, Math.min(healthMost, health + change));
     }
 
+    /** While nothing answers at all, probes show whether we are cut off and accuse nobody: they go on at a pace that tells soon. */
     private double period() {
-        return PERIOD_MS * (1 + health);
+        return Math.min(PERIOD_MS * (1 + health), unheardProbes == 0 ? Double.POSITIVE_INFINITY : ISOLATED_MS / ISOLATED_PROBES);
     }
 
     /** How long this proxy waits for an answer now; a relay says no after {@link #NACK_SHARE} of it. */
     double answerMs() {
-        return ANSWER_MS * (1 + health);
+        return ANSWER_SHARE * period();
     }
 
     void start(double now, Out out) {
         double at = awake(now);
-        nextPeriod = at + random.nextDouble() * PERIOD_MS;
+        periodAt = at - random.nextDouble() * PERIOD_MS;
         nextRecall = at + RECALL_MS;
-        heardBackAt = at;
         seeds.forEach(out::call);
     }
 
@@ -233,27 +243,30 @@
                 out.ask(via, target, number);
             }
         }
-        if (at >= nextPeriod) {
-            nextPeriod = Math.max(at, nextPeriod + period());
+        if (at - periodAt >= period()) {
+            periodAt = at;
             endPeriod(at, out);
-            age(at, out);
             beginPeriod(at, out);
         }
+        age(at, out);
         step(at, out);
     }
 
     /** A probe that failed starts a suspicion, or confirms one that others hold. */
     private void accuse(double at, Member target, Out out) {
-        if (target != null && target.present() && !isolated) {
+        // Where not one of several relays says anything, the silence is our own link's as likely as the member's.
+        boolean voiceless = unheardProbes > 0 && nacksAsked >= VOICES;
+        // One that has refuted since the probe went out hears and is heard: the probe was late, not the member.
+        boolean refuted = target != null && target.incarnation() > probedIncarnation;
+        if (target != null && target.present() && !refuted && !holds(at) && (!voiceless || isolated)) {
             apply(at, target.suspectedBy(self.name()), out);
         }
     }
 
     private void endPeriod(double at, Out out) {
         if (!answered) {
-            well(+1);
-            // Lifeguard: a relay that said nothing at all points at our own link.
-            well(nacks < nacksAsked ? +1 : 0);
+            // As memberlist counts: where every relay says that it was not answered either, the member's silence is none of ours.
+            well(nacksAsked == 0 || nacks < nacksAsked ? +1 : 0);
             accuse(at, find(probed), out);
         }
         answered = true;
@@ -269,11 +282,12 @@
             number++;
             probed = target.name();
             probedAt = at;
+            probedIncarnation = target.incarnation();
             answered = false;
             asked = false;
             nacksAsked = 0;
             nacks = 0;
-            unheardProbes++;
+            unheardSince = unheardProbes++ == 0 ? at : unheardSince;
             out.ping(target, number);
         }
     }
@@ -325,10 +339,13 @@
         return Math.max(least, most - (most - least) * part);
     }
 
+    private boolean holds(double at) {
+        return isolated && at - isolatedAt < HOLD_MS;
+    }
+
     private void age(double at, Out out) {
-        boolean holds = isolated && at - isolatedAt < HOLD_MS;
         for (Peer p : List.copyOf(peers.values())) {
-            if (p.member.status() == Status.SUSPECT && !holds && at - p.since >= suspicionMs(p.accusers.size() - 1)) {
+            if (p.member.status() == Status.SUSPECT && !holds(at) && at - p.since >= suspicionMs(p.accusers.size() - 1)) {
                 apply(at, p.member.with(Status.DEAD), out);
             } else if (!p.member.present() && at - p.since >= REMEMBER_MS) {
                 digest ^= hash(p.member);
@@ -339,12 +356,12 @@
 
     /** Steps down once nothing has answered for long, and up at the first answer. */
     private void step(double at, Out out) {
-        boolean cut = others().size() >= 2 && unheardProbes >= 1 && at - heardBackAt >= ISOLATED_MS;
+        boolean cut = others().size() >= 2 && unheardProbes >= ISOLATED_PROBES && at - unheardSince >= ISOLATED_MS;
         if (cut && !isolated) {
             isolated = true;
             isolatedAt = at;
             withdraw(out);
-            out.stepped(true, String.format(Locale.ROOT, "unanswered_ms:%.0f probes:%d health:%d", at - heardBackAt, unheardProbes, health));
+            out.stepped(true, String.format(Locale.ROOT, "unanswered_ms:%.0f probes:%d health:%d", at - unheardSince, unheardProbes, health));
         } else if (!cut && isolated) {
             isolated = false;
             out.stepped(false, String.format(Locale.ROOT, "down_ms:%.0f health:%d", at - isolatedAt, health));
@@ -365,28 +382,26 @@
         }
     }
 
-    private void heardBack(double at) {
-        heardBackAt = at;
-        unheardProbes = 0;
-    }
-
-    /** An answer to a probe has come, from the member itself or by way of another. */
+    /** An answer to a probe has come, from the member itself or by way of another; a late one too proves that we are heard. */
     void answered(double now, int probe, String from, Out out) {
         double at = awake(now);
         if (probe == number && from.equals(probed) && !answered) {
             answered = true;
             well(-1);
-            heardBack(at);
-            step(at, out);
         }
+        heardBack(at, probe, out);
     }
 
     /** A relay says that the member that it was asked to ping gave it no answer; it proves our own link. */
     void nacked(double now, int probe, Out out) {
         double at = awake(now);
-        if (probe == number) {
-            nacks++;
-            heardBack(at);
+        nacks += probe == number ? 1 : 0;
+        heardBack(at, probe, out);
+    }
+
+    private void heardBack(double at, int probe, Out out) {
+        if (probe > number - HEARD_PROBES && probe > 0 && probe <= number) {
+            unheardProbes = 0;
             step(at, out);
         }
     }
--- a/src/test/java/hopglade/membership/LifeguardTest.java
+++ b/src/test/java/hopglade/membership/LifeguardTest.java
@@ -79,4 +79,35 @@
             }
         }
     }
+
+    /** One that was cut off comes back with a bad health score, probes seconds apart, and knows all the same that it is heard. */
+    @Test
+    void oneThatIsHeardAgainStaysUpHoweverSlowlyItProbes() {
+        Town town = Town.of(5, 3);
+        String lone = town.proxy(1).address;
+        town.cut = (f, t) -> t.equals(lone);
+        town.runFor(10_000);
+        assertTrue(town.proxy(1).gossip.steppedDown());
+        assertFalse(town.told.stream().anyMatch(t -> t.by().equals("p1") && t.what() == What.SUSPECTED && t.at() > 1000),
+                "silence of every relay is its own link's, and accuses nobody");
+        town.cut = (f, t) -> false;
+        town.runFor(2000);
+        double healed = town.now;
+        town.runFor(30_000);
+        assertEquals(0, told(town, What.STEPPED_DOWN, "p1", healed));
+    }
+
+    @Test
+    void oneThatWakesAndRefutesIsNotAccusedForProbesFromBefore() {
+        for (long seed = 1; seed <= 5; seed++) {
+            Town town = Town.of(9, seed);
+            town.runFor(3000);
+            double from = town.now;
+            town.pause(town.proxy(2), 1000);
+            town.runFor(6000);
+            long again = told(town, What.REFUTED, "p2", from);
+            assertTrue(again <= 2, "refuted " + again + " times after one pause, seed " + seed);
+            assertEquals(0, told(town, What.DIED, "p2", from));
+        }
+    }
 }
