Cut links one way, starve processes, and hold proxies' views of one another to the truth

Need: the laboratory started proxy processes, paused and killed them, and relayed their packets, but could cut no link one way, take no core away, and said nothing of who was held dead while it lived.

Change: faults gossip-deaf, gossip-mute, gossip-oneway (proxy, peer), proxy-starved and machine-busy, for both drivers where they can be played; lab.ledger.Membership takes each proxy's events of membership (from its log, or in virtual time) and counts members.false_downs, paused_downs, cut_downs, false_suspicions, detect_ms_p50 and max, crashes_missed, rejoin_ms_max, step_downs, needless_step_downs, stepped_down_at_end and wrong_at_end. In virtual time a stopped proxy's gossip stands still too; before, it went on.

Tests start five processes: a pause of 0.8 and 6 s, and a one-way cut with a crash beside it. Rejected: a second driver, as the one on sockets starts processes of the program already.

--- a/src/main/java/hopglade/lab/ExperimentFile.java
+++ b/src/main/java/hopglade/lab/ExperimentFile.java
@@ -187,6 +187,7 @@
         double at = t.number("at_s", 0, 0, durationS);
         double forS = 0;
         String target = "";
+        String peer = "";
         double share = 0;
         double factor = 0;
         int keys = 0;
@@ -204,10 +205,11 @@
                 case CLASS -> target = among(t, word, load.classes().stream().map(Experiment.Class::name).toList());
                 case NODE -> target = what == Fault.Kind.NODE_START ? spare(t, word, fleet) : node(t, word, fleet);
                 case PROXY -> target = numbered(t, word, "proxy-", proxies.count(), false);
+                case PEER -> peer = numbered(t, word, "proxy-", proxies.count(), false);
             }
         }
         t.done();
-        return new Fault(what, at, forS, target, share, factor, keys);
+        return new Fault(what, at, forS, target, share, factor, keys, peer);
     }
 
     private static String among(Toml.Table t, String key, List<String> words) throws BadFileException {
--- a/src/main/java/hopglade/lab/faults/Fault.java
+++ b/src/main/java/hopglade/lab/faults/Fault.java
@@ -15,16 +15,23 @@
  * @param factor   how much slower or heavier, as a multiple; for {@code discovery-stale} the seconds that news is later;
  *                 for {@code hostile} the peers a second
  * @param keys     keys that turn hot
+ * @param peer     the other proxy of a link, as {@code target}
  */
-public record Fault(Kind what, double atS, double forS, String target, double share, double factor, int keys) {
+public record Fault(Kind what, double atS, double forS, String target, double share, double factor, int keys, String peer) {
+
+    public Fault(Kind what, double atS, double forS, String target, double share, double factor, int keys) {
+        this(what, atS, forS, target, share, factor, keys, "");
+    }
 
     /** A prime above any count, so that a part takes each index once and neighbours fall apart. */
     private static final int SPREAD = 7919;
     /** How often a liar pretends to have seen something of each node. */
     public static final double LIE_EVERY_MS = 250;
+    /** A starved proxy is stopped once in so long. */
+    public static final double STARVE_EVERY_MS = 1000;
 
     /** Keys that a fault's table may hold beside {@code what} and {@code at_s}. */
-    public enum Key { FOR_S, NODE, PROXY, ZONE, SHARE, FACTOR, KEYS, CLASS }
+    public enum Key { FOR_S, NODE, PROXY, PEER, ZONE, SHARE, FACTOR, KEYS, CLASS }
 
     /** Every kind of fault, and the keys that it has; all of them are needed. */
     public enum Kind {
@@ -80,10 +87,20 @@
         PROXY_HUP(Key.PROXY),
         /** It is stopped for so long, and goes on. */
         PROXY_STOP(Key.PROXY, Key.FOR_S),
+        /** It has no core for a {@code share} of each second. */
+        PROXY_STARVED(Key.PROXY, Key.FOR_S, Key.SHARE),
+        /** So many threads ({@code factor}) of the laboratory's own keep the machine's cores busy; on sockets alone. */
+        MACHINE_BUSY(Key.FOR_S, Key.FACTOR),
         /** Its own link is broken: every machine seems silent to it, while its clients and peers reach it. */
         PROXY_BLIND(Key.PROXY, Key.FOR_S),
         /** Its gossip reaches nobody and nobody's reaches it; requests flow. Several at once are cut from one another too. */
         GOSSIP_CUT(Key.PROXY, Key.FOR_S),
+        /** No other proxy's packets reach it; its own reach all. */
+        GOSSIP_DEAF(Key.PROXY, Key.FOR_S),
+        /** Its packets reach no other proxy; it hears all. */
+        GOSSIP_MUTE(Key.PROXY, Key.FOR_S),
+        /** It hears nothing of {@code peer}, which hears it; all else flows. */
+        GOSSIP_ONEWAY(Key.PROXY, Key.PEER, Key.FOR_S),
         /** Proxies of two parts hear those of their own part alone: that of the fault, and the rest. */
         GOSSIP_SPLIT(Key.PROXY, Key.FOR_S),
         /** Of the packets between proxies a share is lost, as many arrive twice, and as many late and out of order. */
@@ -120,7 +137,7 @@
 
     /** Its kind and what it strikes. */
     public String label() {
-        return what.word() + (target.isEmpty() ? "" : " " + target);
+        return what.word() + (target.isEmpty() ? "" : " " + target) + (peer.isEmpty() ? "" : " of " + peer);
     }
 
     /**
@@ -128,6 +145,15 @@
      * part, as {@code 30%}, is spread evenly and the same at each fault, and holds one at least.
      */
     public boolean strikes(String prefix, int index, int count) {
+        return strikes(target, prefix, index, count);
+    }
+
+    /** The same of the proxy at the other end of a link. */
+    public boolean strikesPeer(int index, int count) {
+        return strikes(peer, "proxy-", index, count);
+    }
+
+    private static boolean strikes(String target, String prefix, int index, int count) {
         if (target.endsWith("%")) {
             int part = Integer.parseInt(target.substring(0, target.length() - 1));
             return (long) index * SPREAD % count < Math.max(1, Math.round(part * count / 100.0));
--- a/src/main/java/hopglade/lab/faults/PeerLinks.java
+++ b/src/main/java/hopglade/lab/faults/PeerLinks.java
@@ -1,8 +1,10 @@
 package hopglade.lab.faults;
 
+import java.util.ArrayList;
+import java.util.List;
 import org.apache.commons.math3.random.RandomGenerator;
 
-/** What becomes of the packets between proxies: cuts, parts, and links that lose, double and delay. Both drivers carry by it. */
+/** What becomes of what proxies tell one another: cuts, both ways or one, parts, and links that lose, double and delay. Both drivers carry by it. */
 public final class PeerLinks {
 
     /** So many of the first proxies are the seeds of all. */
@@ -11,7 +13,11 @@
     private static final double[] LOST = {};
 
     private final RandomGenerator random;
+    /** Which of these proxies hear nothing of which, and until when. */
+    private record Deaf(boolean[] to, boolean[] from, double until) { }
+
     private final int proxies;
+    private final List<Deaf> deaf = new ArrayList<>();
     private final double[] cutUntil;
     private final int[] part;
     private double splitUntil;
@@ -34,27 +40,50 @@
                 lossyUntil = fault.endMs();
             }
             case GOSSIP_SPLIT -> splitUntil = fault.endMs();
+            case GOSSIP_DEAF, GOSSIP_MUTE, GOSSIP_ONEWAY -> {
+                boolean[] struck = struck(fault);
+                boolean[] others = new boolean[proxies + 1];
+                for (int i = 0; i <= proxies; i++) {
+                    others[i] = fault.what() == Fault.Kind.GOSSIP_ONEWAY ? fault.strikesPeer(i, proxies) : !struck[i];
+                }
+                boolean mute = fault.what() == Fault.Kind.GOSSIP_MUTE;
+                deaf.add(new Deaf(mute ? others : struck, mute ? struck : others, fault.endMs()));
+                return true;
+            }
             case GOSSIP_CUT -> { }
             default -> {
                 return false;
             }
         }
+        boolean[] struck = struck(fault);
         for (int i = 0; i < proxies; i++) {
-            boolean struck = !fault.target().isEmpty() && fault.strikes("proxy-", i, proxies);
-            if (fault.what() == Fault.Kind.GOSSIP_CUT && struck) {
+            if (fault.what() == Fault.Kind.GOSSIP_CUT && struck[i]) {
                 cutUntil[i] = fault.endMs();
             } else if (fault.what() == Fault.Kind.GOSSIP_SPLIT) {
-                part[i] = struck ? 1 : 0;
+                part[i] = struck[i] ? 1 : 0;
             }
         }
         return true;
     }
 
+    private boolean[] struck(Fault fault) {
+        boolean[] struck = new boolean[proxies + 1];
+        for (int i = 0; i < proxies; i++) {
+            struck[i] = !fault.target().isEmpty() && fault.strikes("proxy-", i, proxies);
+        }
+        return struck;
+    }
+
+    /** Whether nothing at all goes from one to another now. */
+    public boolean cut(int from, int to, double now) {
+        return now < cutUntil[from] || now < cutUntil[to] || now < splitUntil && part[from] != part[to]
+                || deaf.stream().anyMatch(d -> now < d.until() && d.to()[to] && d.from()[from]);
+    }
+
     /** By how many ms each copy of a packet comes later than usual; none where it is lost. */
     public double[] copies(int from, int to, double now) {
-        boolean cut = now < cutUntil[from] || now < cutUntil[to] || now < splitUntil && part[from] != part[to];
         boolean trouble = now < lossyUntil;
-        if (cut || trouble && random.nextDouble() < lossy) {
+        if (cut(from, to, now) || trouble && random.nextDouble() < lossy) {
             return LOST;
         }
         double[] late = new double[trouble && random.nextDouble() < lossy ? 2 : 1];
--- a/src/main/java/hopglade/lab/hunt/Day.java
+++ b/src/main/java/hopglade/lab/hunt/Day.java
@@ -97,6 +97,7 @@
                     case FACTOR -> String.valueOf(f.factor());
                     case KEYS -> String.valueOf(f.keys());
                     case NODE, PROXY, ZONE, CLASS -> '"' + f.target() + '"';
+                    case PEER -> '"' + f.peer() + '"';
                 }).append('\n');
             }
         }
--- a/src/main/java/hopglade/lab/sockets/ProxyProcess.java
+++ b/src/main/java/hopglade/lab/sockets/ProxyProcess.java
@@ -30,11 +30,17 @@
     private static final String KEEPER = "exec 3<&0; /bin/sh -c \"$1\" </dev/null 3<&- & p=$!; echo \"pid $p\"; "
             + "(while read -r _; do :; done <&3; kill -KILL $p) 2>/dev/null & w=$!; exec 3<&-; wait $p; c=$?; kill $w 2>/dev/null; echo \"exit $c\"";
     private static final Pattern LEVEL = Pattern.compile("\\bcontrol level=(\\d+)");
+    private static final Pattern EVENT = Pattern.compile("\\b([a-z]+_[a-z_]+) subject=(\\S+) evidence=(?:\"([^\"]*)\"|(\\S*))");
     private static final Pattern GOSSIP = Pattern.compile("\\bgossip_tally sent=(\\d+) bytes=(\\d+)");
     private static final long READY_POLL_MS = 20;
     private static final double TICKS_PER_S = 100;
     private static final double KB_PER_MB = 1024;
 
+    /** Takes the events of a proxy's log that name a subject and evidence, as they are read. */
+    interface Events {
+        void saw(String event, String subject, String evidence);
+    }
+
     /** What a look from outside tells: CPU seconds so far, resident megabytes, open descriptors. */
     record Usage(double cpuS, double residentMb, int descriptors) { }
 
@@ -45,6 +51,7 @@
     private final String run;
     private final Path config;
     private final PrintWriter log;
+    private Events events = (event, subject, evidence) -> { };
     private Process keeper;
     private volatile long pid = -1;
     private volatile int level;
@@ -68,6 +75,11 @@
         }
     }
 
+    /** Names who is told of its events; before the first start. Called by the thread that reads its log. */
+    void onEvents(Events taker) {
+        events = taker;
+    }
+
     /** Writes the configuration that the next start, or SIGHUP, reads. */
     void configure(JsonObject json) throws IOException {
         Path beside = directory.resolve(name + ".json.new");
@@ -108,6 +120,10 @@
                 } else if (control.find()) {
                     level = Integer.parseInt(control.group(1));
                 }
+                Matcher event = EVENT.matcher(line);
+                if (event.find()) {
+                    events.saw(event.group(1), event.group(2), event.group(3) == null ? event.group(4) : event.group(3));
+                }
                 if (gossip.find()) {
                     double bytes = Double.parseDouble(gossip.group(2)) + Gossip.HEADERS * Double.parseDouble(gossip.group(1));
                     gossipBytesPerS = bytes / ((System.nanoTime() - startedNs) / 1e9);
--- a/src/main/java/hopglade/lab/sockets/SocketPeers.java
+++ b/src/main/java/hopglade/lab/sockets/SocketPeers.java
@@ -31,14 +31,21 @@
     private static final int VERIFICATIONS_PER_S = 200;
     private static final String PROGRAM = "-jar target/hopglade.jar serve";
 
+    /** The same where the tools' libraries are on the class path already. */
+    private static final String SERVE = " hopglade.Main serve";
+
     private SocketPeers() { }
 
     /** The run line with the options, which need the tools' libraries beside the program. */
     static String command(String run, Path directory, int proxy) throws IOException {
+        String with = " --options " + options(directory, proxy);
+        if (run.endsWith(SERVE)) {
+            return run + with;
+        }
         if (!run.contains(PROGRAM)) {
-            throw new IOException("gossip on sockets needs a run line that holds " + PROGRAM);
+            throw new IOException("gossip on sockets needs a run line that holds " + PROGRAM + " or ends with" + SERVE);
         }
-        return run.replace(PROGRAM, "-cp 'target/hopglade.jar:target/lib/*' hopglade.Main serve --options " + options(directory, proxy));
+        return run.replace(PROGRAM, "-cp 'target/hopglade.jar:target/lib/*' hopglade.Main serve" + with);
     }
 
     private static Path options(Path directory, int proxy) {
--- a/src/main/java/hopglade/lab/sockets/SocketRun.java
+++ b/src/main/java/hopglade/lab/sockets/SocketRun.java
@@ -9,6 +9,7 @@
 import hopglade.lab.faults.Fault;
 import hopglade.lab.faults.PeerLinks;
 import hopglade.lab.ledger.Ledger;
+import hopglade.lab.ledger.Membership;
 import hopglade.lab.ledger.Rules.Rule;
 import hopglade.lab.ledger.Rules.Violation;
 import hopglade.lab.load.LoadPlan;
@@ -65,6 +66,8 @@
     /** Clients that are on their way still come for so long after SIGTERM. */
     private static final double FRONT_MS = 300;
     private static final double HOSTILE_MS = 3000;
+    /** What the names of gossip's events in a log begin with. */
+    private static final String GOSSIP = "gossip_";
 
     private final Experiment experiment;
     private final Path directory;
@@ -72,6 +75,7 @@
     private final String run;
     private final RunClock clock = new RunClock();
     private final Ledger ledger = new Ledger();
+    private final Membership membership;
     private final Installation plan;
     private final LoadPlan load;
     private final World world;
@@ -100,6 +104,7 @@
         this.directory = directory.toAbsolutePath();
         this.root = root;
         this.run = run;
+        this.membership = new Membership(experiment);
         this.plan = Draw.installation(experiment);
         this.load = LoadPlan.of(experiment);
         this.levels = new int[(int) Math.ceil(experiment.durationS())];
@@ -188,6 +193,12 @@
             InetAddress at = InetAddress.getByAddress(new byte[] {127, (byte) (64 + pid % 64), (byte) RUNS.incrementAndGet(), (byte) (10 + i)});
             proxies.add(new ProxyProcess("proxy-" + i, at, directory, root, experiment.gossip().enabled() ? SocketPeers.command(run, directory, i) : run));
             addresses.add(proxies.get(i).address);
+            int proxy = i;
+            proxies.get(i).onEvents((event, subject, evidence) -> {
+                if (event.startsWith(GOSSIP)) {
+                    membership.saw(proxy, event.substring(GOSSIP.length()), subject, evidence, clock.now());
+                }
+            });
         }
         if (experiment.gossip().enabled()) {
             relay = new PacketRelay(clientGroup.next(), clock, peerLinks, addresses);
@@ -284,8 +295,10 @@
                 case PROXY_KILL -> eachProxy(this::kill);
                 case PROXY_HUP -> eachProxy(this::hup);
                 case PROXY_STOP -> eachProxy(this::stop);
+                case PROXY_STARVED -> eachProxy(this::starve);
+                case MACHINE_BUSY -> busy();
                 case LIAR_ACCUSES, LIAR_PRAISES, LIAR_FLIPS -> lie();
-                case GOSSIP_CUT, GOSSIP_SPLIT, GOSSIP_LOSS -> clientGroup.next().execute(() -> peerLinks.begin(fault));
+                case GOSSIP_CUT, GOSSIP_SPLIT, GOSSIP_LOSS, GOSSIP_DEAF, GOSSIP_MUTE, GOSSIP_ONEWAY -> clientGroup.next().execute(() -> peerLinks.begin(fault));
                 case PROXY_BLIND -> {
                     onLoop(() -> agents(i -> machines.blind(i, true)));
                     atEnd(() -> agents(i -> machines.blind(i, false)));
@@ -354,6 +367,7 @@
                     ledger.excuse(new Ledger.Excuse(i, clock.now(), clock.now(), "SIGKILL"));
                 }
                 proxies.get(i).end();
+                membership.ended(i, clock.now());
                 clients.inService(i, false);
                 startAgain(i);
                 return null;
@@ -364,6 +378,7 @@
             attempt(() -> {
                 ledger.excuse(new Ledger.Excuse(i, clock.now(), clock.now() + experiment.proxies().noticeS() * MS_PER_S, "SIGKILL"));
                 proxies.get(i).signal("KILL");
+                membership.ended(i, clock.now());
                 hands.schedule(() -> clients.inService(i, false), (long) (experiment.proxies().noticeS() * MS_PER_S), TimeUnit.MILLISECONDS);
                 proxies.get(i).awaitExit(READY_MS);
                 startAgain(i);
@@ -374,6 +389,7 @@
         private void startAgain(int i) throws IOException, InterruptedException, ExecutionException {
             Thread.sleep(TimeUnit.NANOSECONDS.toMillis(clock.nanosUntil(clock.now() + fault.forS() * MS_PER_S)));
             proxies.get(i).configure(loop.submit((Callable<JsonObject>) () -> config(i)).get());
+            membership.started(i, clock.now());
             proxies.get(i).start(discoveries.get(i).dial());
             double begun = clock.now();
             if (proxies.get(i).awaitReady(READY_MS)) {
@@ -409,6 +425,32 @@
             });
         }
 
+        private void starve(int i) {
+            attempt(() -> {
+                ledger.excuse(new Ledger.Excuse(i, clock.now(), fault.endMs() + SETTLE_MS, "starved"));
+                long stopped = (long) (fault.share() * Fault.STARVE_EVERY_MS);
+                for (double begun = clock.now(); begun < fault.endMs(); begun += Fault.STARVE_EVERY_MS) {
+                    proxies.get(i).signal("STOP");
+                    Thread.sleep(stopped);
+                    proxies.get(i).signal("CONT");
+                    Thread.sleep(Math.max(0, TimeUnit.NANOSECONDS.toMillis(clock.nanosUntil(begun + Fault.STARVE_EVERY_MS))));
+                }
+                return null;
+            });
+        }
+
+        private void busy() {
+            for (int i = 0; i < fault.factor(); i++) {
+                Thread burner = new Thread(() -> {
+                    while (clock.now() < fault.endMs() && !hands.isShutdown()) {
+                        Thread.onSpinWait();
+                    }
+                }, "busy-" + i);
+                burner.setDaemon(true);
+                burner.start();
+            }
+        }
+
         private void attempt(Callable<Void> act) {
             try {
                 act.call();
@@ -456,6 +498,7 @@
             Thread.sleep(LOOK_MS);
         }
         if (experiment.gossip().enabled()) {
+            outside.putAll(membership.figures());
             outside.put("gossip.bytes_per_s", proxies.stream().mapToDouble(ProxyProcess::gossipBytesPerS).max().orElse(0));
         }
         outside.put("proxy.cpu_s", java.util.Arrays.stream(cpu).sum());
--- a/src/main/java/hopglade/lab/virtual/VirtualPeers.java
+++ b/src/main/java/hopglade/lab/virtual/VirtualPeers.java
@@ -9,6 +9,7 @@
 import hopglade.lab.faults.PeerLinks;
 import hopglade.lab.ledger.Ledger;
 import hopglade.lab.ledger.Ledger.Attempt;
+import hopglade.lab.ledger.Membership;
 import hopglade.lab.world.Installation;
 import hopglade.membership.Gossip;
 import hopglade.membership.Gossip.What;
@@ -17,6 +18,7 @@
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -56,7 +58,9 @@
         }
 
         void tick() {
-            if (!over) {
+            if (agenda.now() < stoppedUntil[proxy.index]) {
+                agenda.at(stoppedUntil[proxy.index], this::tick);
+            } else if (!over) {
                 gossip.tick(clock(proxy.index), this);
                 agenda.in(Gossip.TICK_MS, this::tick);
             }
@@ -85,11 +89,12 @@
         @Override
         public void event(What what, String subject, String evidence) {
             events.merge(what, 1, Integer::sum);
+            membership.saw(proxy.index, what.name().toLowerCase(Locale.ROOT), subject, evidence, agenda.now());
             if (what == What.DIED && killed.containsKey(subject)) {
                 known.merge(subject, agenda.now() - killed.get(subject), Math::max);
             }
             if (what != What.MEMBER && marks++ < MOST_MARKS) {
-                mark.accept("proxy-" + proxy.index + " " + what.name().toLowerCase(java.util.Locale.ROOT) + " " + subject + " " + evidence);
+                mark.accept("proxy-" + proxy.index + " " + what.name().toLowerCase(Locale.ROOT) + " " + subject + " " + evidence);
             }
         }
     }
@@ -107,6 +112,8 @@
     private final double[] changedAt;
     private final double[] pace;
     private final PeerLinks links;
+    private final double[] stoppedUntil;
+    private final Membership membership;
     private final Kind[] lies;
     private final Map<String, Double> killed = new HashMap<>();
     private final Map<String, Double> known = new HashMap<>();
@@ -135,6 +142,8 @@
         Arrays.fill(pace, 1);
         links = new PeerLinks(count, random);
         lies = new Kind[count];
+        stoppedUntil = new double[count];
+        membership = new Membership(experiment);
     }
 
     private static String address(int proxy) {
@@ -154,6 +163,7 @@
             voice.gossip.start(clock(proxy.index), voice);
             agenda.in(random.nextDouble() * Gossip.TICK_MS, voice::tick);
             if (voice.bornAt > 0) {
+                membership.started(proxy.index, agenda.now());
                 agenda.in(1, () -> learned(voice));
             }
         }
@@ -173,6 +183,7 @@
         if (voices[proxy] != null) {
             voices[proxy].over = true;
             killed.put("proxy-" + proxy, agenda.now());
+            membership.ended(proxy, agenda.now());
         }
     }
 
@@ -208,15 +219,24 @@
     private void carry(int from, int to, byte[] packet) {
         double delay = plan.delayMs(from, plan.proxyZones().get(to));
         for (double late : links.copies(from, to, agenda.now())) {
-            agenda.in(delay + late, () -> {
-                Voice voice = voices[to];
-                if (voice != null && !voice.over) {
-                    voice.gossip.received(clock(to), address(from), packet, voice);
-                }
-            });
+            agenda.in(delay + late, () -> arrive(from, to, packet));
+        }
+    }
+
+    /** A process that stands still finds in its socket, when it goes on, what has come meanwhile. */
+    private void arrive(int from, int to, byte[] packet) {
+        Voice voice = voices[to];
+        if (agenda.now() < stoppedUntil[to]) {
+            agenda.at(stoppedUntil[to], () -> arrive(from, to, packet));
+        } else if (voice != null && !voice.over) {
+            voice.gossip.received(clock(to), address(from), packet, voice);
         }
     }
 
+    void stop(int proxy, double until) {
+        stoppedUntil[proxy] = until;
+    }
+
     /** Begins a fault of the proxies' gossip. */
     void begin(Fault fault) {
         if (links.begin(fault)) {
@@ -286,6 +306,7 @@
         figures.put("gossip.death_known_ms", known.values().stream().mapToDouble(d -> d).max().orElse(0));
         figures.put("gossip.doubt_spread_ms", firstDoubt.keySet().stream().mapToDouble(n -> lastDoubt.get(n) - firstDoubt.get(n)).max().orElse(0));
         figures.put("gossip.learned_ms_max", learnedMs);
+        figures.putAll(membership.figures());
         int most = alive.size();
         List<String> present = alive.stream().map(p -> "proxy-" + p.index).toList();
         double least = most;
--- a/src/main/java/hopglade/lab/virtual/VirtualRun.java
+++ b/src/main/java/hopglade/lab/virtual/VirtualRun.java
@@ -556,10 +556,15 @@
             });
             case PROXY_STOP -> each(fault, i -> {
                 ledger.excuse(new Ledger.Excuse(i, agenda.now(), fault.endMs() + SETTLE_MS, "SIGSTOP"));
-                proxies.get(i).stop(fault.endMs());
+                stop(i, fault.endMs());
             });
+            case PROXY_STARVED -> each(fault, i -> {
+                ledger.excuse(new Ledger.Excuse(i, agenda.now(), fault.endMs() + SETTLE_MS, "starved"));
+                starve(i, fault);
+            });
+            case MACHINE_BUSY -> mark("a busy machine is not played in virtual time");
             case PROXY_BLIND -> each(fault, i -> blindUntil[i] = fault.endMs());
-            case GOSSIP_CUT, GOSSIP_SPLIT, GOSSIP_LOSS, LIAR_ACCUSES, LIAR_PRAISES, LIAR_FLIPS, PROXY_CLOCK -> peers.begin(fault);
+            case GOSSIP_CUT, GOSSIP_SPLIT, GOSSIP_LOSS, GOSSIP_DEAF, GOSSIP_MUTE, GOSSIP_ONEWAY, LIAR_ACCUSES, LIAR_PRAISES, LIAR_FLIPS, PROXY_CLOCK -> peers.begin(fault);
             case PROXY_HUP -> mark("proxy-hup changes nothing in virtual time");
             case HOSTILE -> mark("hostile peers are not played in virtual time");
             default -> throw new IllegalStateException("no such fault: " + fault.what());
@@ -587,6 +592,18 @@
         }
     }
 
+    private void stop(int index, double until) {
+        proxies.get(index).stop(until);
+        peers.stop(index, until);
+    }
+
+    private void starve(int index, Fault fault) {
+        if (fault.at(agenda.now())) {
+            stop(index, agenda.now() + fault.share() * Fault.STARVE_EVERY_MS);
+            agenda.in(Fault.STARVE_EVERY_MS, () -> starve(index, fault));
+        }
+    }
+
     private void kill(int index, Fault fault) {
         VirtualProxy old = proxies.get(index);
         if (old.dead()) {
--- /dev/null
+++ b/src/test/java/hopglade/lab/ProcessesTest.java
@@ -0,0 +1,88 @@
+package hopglade.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import hopglade.config.Toml;
+import hopglade.lab.report.Results;
+import hopglade.lab.sockets.SocketRun;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Five processes of the program with faults between them. Bounds are generous: other tests may be running beside these. */
+class ProcessesTest {
+
+    private static final String RUN = "exec " + Path.of(System.getProperty("java.home"), "bin", "java") + " -XX:TieredStopAtLevel=1 -XX:+UseSerialGC -Xmx96m -cp '"
+            + System.getProperty("java.class.path") + "' hopglade.Main serve";
+    private static final String FIVE = """
+            name = "five"
+            duration_s = %s
+            [fleet]
+            nodes = 3
+            keys = 200
+            [proxies]
+            count = 5
+            [gossip]
+            enabled = true
+            [load]
+            rate = 20
+            lateness_ms = 10000
+            [rules]
+            slack_ms = 5000
+            """;
+
+    @TempDir
+    Path directory;
+
+    private Map<String, Double> play(double durationS, String faults) throws Exception {
+        Experiment experiment = ExperimentFile.of(Toml.parse("test.toml", FIVE.formatted(durationS) + faults));
+        Results results = new SocketRun(experiment, directory, directory, RUN).play(p -> { });
+        assertEquals(List.of(), results.violations());
+        return results.figures();
+    }
+
+    @Test
+    void aPausedProcessIsTakenBackAndAccusesNobodyForItsOwnPause() throws Exception {
+        Map<String, Double> figures = play(18, """
+                [[fault]]
+                what = "proxy-stop"
+                proxy = "proxy-1"
+                at_s = 1
+                for_s = 0.8
+                [[fault]]
+                what = "proxy-stop"
+                proxy = "proxy-2"
+                at_s = 3
+                for_s = 6
+                """);
+        assertEquals(0, figures.get("members.false_downs"), figures.toString());
+        assertTrue(figures.get("members.paused_downs") <= 1, figures.toString());
+        assertEquals(0, figures.get("members.wrong_at_end"), figures.toString());
+        assertEquals(0, figures.get("members.stepped_down_at_end"), figures.toString());
+    }
+
+    @Test
+    void aLinkThatIsCutOneWayKillsNobodyAndACrashBesideItIsSeen() throws Exception {
+        Map<String, Double> figures = play(18, """
+                [[fault]]
+                what = "gossip-oneway"
+                proxy = "proxy-2"
+                peer = "proxy-1"
+                at_s = 1
+                for_s = 15
+                [[fault]]
+                what = "proxy-kill"
+                proxy = "proxy-4"
+                at_s = 5
+                for_s = 60
+                """);
+        assertEquals(0, figures.get("members.false_downs"), figures.toString());
+        assertEquals(0, figures.get("members.cut_downs"), figures.toString());
+        assertEquals(0, figures.get("members.step_downs"), figures.toString());
+        assertEquals(0, figures.get("members.crashes_missed"), figures.toString());
+        assertTrue(figures.get("members.detect_ms_p50") > 0, figures.toString());
+    }
+}
