Change the fleet's policy by replicated epochs that take hold everywhere or nowhere (core, virtual time)

Need: each proxy reads its own operators' file, so a change made while some are down leaves the fleet on two policies, and nobody can say which is in force.

An epoch takes two entries. The first prepares it: voters grant the older one no more, and proxies that hear of it stop counting themselves current and say so. The second puts it in force, once a majority of voters has nobody left who could still rely on the older one: by word, or after a lease of 1 s (10% for drift). A proxy counts itself current while a majority grants it the epoch it runs. Before anything is appended a majority confirms the leader, so that a refusal is final.

--- a/src/main/java/hopglade/lab/Draw.java
+++ b/src/main/java/hopglade/lab/Draw.java
@@ -13,7 +13,7 @@
 
     private static final double S = 1000;
     /** Numbers of the streams that one seed is split into. */
-    public enum Stream { FLEET, ARRIVALS, KEYS, WORK, CLIENTS, WORLD, HOSTILE, STORES, FAULTS, GOSSIP, POOLS }
+    public enum Stream { FLEET, ARRIVALS, KEYS, WORK, CLIENTS, WORLD, HOSTILE, STORES, FAULTS, GOSSIP, POOLS, POLICY }
 
     private Draw() { }
 
--- a/src/main/java/hopglade/lab/Experiment.java
+++ b/src/main/java/hopglade/lab/Experiment.java
@@ -8,7 +8,7 @@
  * and the most. See {@link ExperimentFile} for the keys and their bounds.
  */
 public record Experiment(String name, String about, long seed, double durationS, Fleet fleet, Origin origin,
-                         Discovery discovery, Proxies proxies, Gossip gossip, Load load, Rules rules, Prices prices, List<Fault> faults,
+                         Discovery discovery, Proxies proxies, Gossip gossip, Policy policy, Load load, Rules rules, Prices prices, List<Fault> faults,
                          List<Expect> expects) {
 
     /** Cache nodes, those that may take another's place, their zones and the links between them. */
@@ -38,6 +38,9 @@
     /** Whether the proxies gossip, the bytes that each may send in a second, headers included, and whether their timeouts heed their own health. */
     public record Gossip(boolean enabled, int bytesPerS, boolean health) { }
 
+    /** How many of the first proxies vote on the fleet's policy; 0 without one. */
+    public record Policy(int voters) { }
+
     public record Load(double rate, double zipf, double drift, int retries, double[] retryWaitMs, double honours,
                        boolean marksRetries, double[] patience, double costHintError, double maxRetryAfterMs,
                        double latenessMs, List<Class> classes) {
--- a/src/main/java/hopglade/lab/ExperimentFile.java
+++ b/src/main/java/hopglade/lab/ExperimentFile.java
@@ -21,6 +21,7 @@
     private static final int ROOM_A_CORE = 50;
     private static final double MOST_RATE = 200_000;
     private static final double MOST_MS = 600_000;
+    private static final int MOST_VOTERS = 7;
     private static final int GOSSIP_BYTES = 4096;
     private static final int LEAST_GOSSIP_BYTES = 4096;
     private static final int MOST_GOSSIP_BYTES = 1 << 20;
@@ -65,6 +66,12 @@
         Experiment.Gossip gossip = new Experiment.Gossip(talk.flag("enabled", false),
                 talk.whole("bytes_per_s", GOSSIP_BYTES, LEAST_GOSSIP_BYTES, MOST_GOSSIP_BYTES), talk.flag("health", true));
         talk.done();
+        Toml.Table change = root.table("policy");
+        Experiment.Policy policy = new Experiment.Policy(change.whole("voters", 0, 0, MOST_VOTERS));
+        if (policy.voters() > proxies.count() || policy.voters() > 0 && !gossip.enabled()) {
+            throw change.bad("voters", String.valueOf(policy.voters()), "at most proxies.count, with gossip.enabled, as proxies know one another by their gossip keys");
+        }
+        change.done();
         Experiment.Load load = load(root.table("load"));
         Experiment.Rules rules = rules(root.table("rules"));
         Toml.Table points = root.table("prices");
@@ -81,7 +88,7 @@
             expects.add(expect(expect));
         }
         Experiment experiment = new Experiment(name, root.text("about", ""), root.whole("seed", 1, 0, Integer.MAX_VALUE),
-                duration, fleet, origin, discovery, proxies, gossip, load, rules, prices, List.copyOf(faults), List.copyOf(expects));
+                duration, fleet, origin, discovery, proxies, gossip, policy, load, rules, prices, List.copyOf(faults), List.copyOf(expects));
         root.done();
         return experiment;
     }
--- a/src/main/java/hopglade/lab/faults/Fault.java
+++ b/src/main/java/hopglade/lab/faults/Fault.java
@@ -105,6 +105,10 @@
         GOSSIP_SPLIT(Key.PROXY, Key.FOR_S),
         /** Of the packets between proxies a share is lost, as many arrive twice, and as many late and out of order. */
         GOSSIP_LOSS(Key.FOR_S, Key.SHARE),
+        /** An operator proposes a new policy there. */
+        POLICY_PROPOSE(Key.PROXY),
+        /** Whoever leads the policy's log then is killed, and started again after {@code for_s}. */
+        LEADER_KILL(Key.FOR_S),
         /** It accuses every node, whatever it sees. */
         LIAR_ACCUSES(Key.PROXY, Key.FOR_S),
         /** It has nothing against any node, dead ones too. */
--- a/src/main/java/hopglade/lab/faults/PeerLinks.java
+++ b/src/main/java/hopglade/lab/faults/PeerLinks.java
@@ -80,9 +80,14 @@
                 || deaf.stream().anyMatch(d -> now < d.until() && d.to()[to] && d.from()[from]);
     }
 
+    /** Whether links lose packets now; streams are slow then. */
+    public boolean lossy(double now) {
+        return now < lossyUntil;
+    }
+
     /** By how many ms each copy of a packet comes later than usual; none where it is lost. */
     public double[] copies(int from, int to, double now) {
-        boolean trouble = now < lossyUntil;
+        boolean trouble = lossy(now);
         if (cut(from, to, now) || trouble && random.nextDouble() < lossy) {
             return LOST;
         }
--- /dev/null
+++ b/src/main/java/hopglade/lab/faults/PolicyText.java
@@ -0,0 +1,12 @@
+package hopglade.lab.faults;
+
+/** Policies that are proposed in an experiment: each another one that a proxy takes. */
+public final class PolicyText {
+
+    private PolicyText() { }
+
+    /** The content of the proposal of a number, from 1 on. */
+    public static String number(int proposal) {
+        return "[log]\nodd_lines = " + (20 + proposal) + "\n";
+    }
+}
--- a/src/main/java/hopglade/lab/ledger/Rules.java
+++ b/src/main/java/hopglade/lab/ledger/Rules.java
@@ -44,6 +44,8 @@
         BAD_INPUT,
         /** No proxy ends that was not told to. */
         CRASH,
+        /** No two proxies count themselves current at different epochs of the policy, and what was refused takes hold nowhere. */
+        POLICY,
         /** The load was sent when it was planned: a late generator measures itself. */
         GENERATOR
     }
--- a/src/main/java/hopglade/lab/virtual/VirtualPeers.java
+++ b/src/main/java/hopglade/lab/virtual/VirtualPeers.java
@@ -146,6 +146,10 @@
         membership = new Membership(experiment);
     }
 
+    PeerLinks links() {
+        return links;
+    }
+
     private static String address(int proxy) {
         return "p" + proxy;
     }
--- a/src/main/java/hopglade/lab/virtual/VirtualRun.java
+++ b/src/main/java/hopglade/lab/virtual/VirtualRun.java
@@ -98,6 +98,7 @@
     private final List<Violation> seen = new ArrayList<>();
     private final Story[] stories;
     private final VirtualPeers peers;
+    private final VirtualPolicy policy;
     private long attempts;
     private int lives;
     private long largestTable;
@@ -149,6 +150,7 @@
         this.zones = plan.machineZones();
         this.stories = new Story[load.firsts().size()];
         this.peers = new VirtualPeers(experiment, plan, agenda, this::mark, node -> !world.alive(node) || agenda.now() < silentUntil.getOrDefault(node, 0.0));
+        this.policy = new VirtualPolicy(experiment, plan, agenda, peers.links(), this::mark);
     }
 
     private final class Acts implements World.Effects {
@@ -289,6 +291,7 @@
         long seed = experiment.seed() * 31 + index * 7919L + lives++;
         VirtualProxy proxy = new VirtualProxy(index, agenda, settings, maker.make(settings, seed), new Wires());
         peers.born(proxy, lives, () -> serving(index));
+        policy.born(index, lives);
         proxy.start(remembered(index));
         return proxy;
     }
@@ -564,7 +567,19 @@
             });
             case MACHINE_BUSY -> mark("a busy machine is not played in virtual time");
             case PROXY_BLIND -> each(fault, i -> blindUntil[i] = fault.endMs());
-            case GOSSIP_CUT, GOSSIP_SPLIT, GOSSIP_LOSS, GOSSIP_DEAF, GOSSIP_MUTE, GOSSIP_ONEWAY, LIAR_ACCUSES, LIAR_PRAISES, LIAR_FLIPS, PROXY_CLOCK -> peers.begin(fault);
+            case GOSSIP_CUT, GOSSIP_SPLIT, GOSSIP_LOSS, GOSSIP_DEAF, GOSSIP_MUTE, GOSSIP_ONEWAY -> {
+                peers.begin(fault);
+                policy.begin(fault);
+            }
+            case POLICY_PROPOSE -> policy.begin(fault);
+            case LEADER_KILL -> {
+                int leader = policy.leader();
+                mark("the leader is " + (leader < 0 ? "nobody" : "proxy-" + leader));
+                if (leader >= 0) {
+                    kill(leader, fault);
+                }
+            }
+            case LIAR_ACCUSES, LIAR_PRAISES, LIAR_FLIPS, PROXY_CLOCK -> peers.begin(fault);
             case PROXY_HUP -> mark("proxy-hup changes nothing in virtual time");
             case HOSTILE -> mark("hostile peers are not played in virtual time");
             default -> throw new IllegalStateException("no such fault: " + fault.what());
@@ -595,6 +610,7 @@
     private void stop(int index, double until) {
         proxies.get(index).stop(until);
         peers.stop(index, until);
+        policy.stop(index, until);
     }
 
     private void starve(int index, Fault fault) {
@@ -617,6 +633,7 @@
         hasList[index] = false;
         pool.ended(index);
         peers.died(index);
+        policy.died(index);
         agenda.in(experiment.proxies().noticeS() * MS_PER_S, () -> {
             if (proxies.get(index).dead()) {
                 front.inService(index, false);
@@ -645,6 +662,8 @@
                 "machines.connections_opened", (double) pool.opened(),
                 "machines.connections_turned_away", (double) pool.turnedAway()));
         own.putAll(peers.figures(alive, ledger));
+        own.putAll(policy.figures());
+        seen.addAll(policy.violations());
         return new Played(experiment, "virtual", plan, load, ledger, told, levels, marks, seen).judged(own);
     }
 }
