Carry the fleet's policy between processes: sealed links, a log on disk, commands

Change: hopglade.raft carries it on TCP (X25519 for a session's secret, Ed25519 by the gossip's keys for who is there, HMAC for each frame), keeps MicroRaft's log in a file that is synced where the library asks, and the last epoch apart, so that a proxy runs it from its start on; flintmill policy status|history|propose|revert by a Unix socket; [policy] and [nodes] in the operators' file, off in run.

Limits: 20,000 entries of the log, about 9,500 changes, then refusals; two processes of one name (an upgrade by a passed socket) can't both listen.

--- a/src/main/java/hopglade/cli/Cli.java
+++ b/src/main/java/hopglade/cli/Cli.java
@@ -8,7 +8,7 @@
 /** The commands and their exit codes. */
 @Command(name = "flintmill", description = "A caching fleet's proxy, its configuration and its laboratory.",
         mixinStandardHelpOptions = true, versionProvider = Version.class, subcommands = {Cli.Serve.class, Cli.Benchlink.class,
-            Cli.Rehearse.class, ConfigCommands.class, KeysCommands.class, MembersCommand.class, LabCommands.class},
+            Cli.Rehearse.class, ConfigCommands.class, KeysCommands.class, MembersCommand.class, PolicyCommands.class, LabCommands.class},
         exitCodeListHeading = "%nExit codes:%n",
         exitCodeList = {"0:done, and every bound holds", "1:a bound is missed, a rule is broken, or a start failed",
             "2:a bad configuration or experiment file", "64:a wrong command line"})
--- a/src/main/java/hopglade/config/Options.java
+++ b/src/main/java/hopglade/config/Options.java
@@ -6,7 +6,7 @@
  * What an operator may set beside the platform's configuration; each subsystem has a record. A plain record without the
  * TOML library behind it, so that a proxy started without a file loads nothing more.
  */
-public record Options(Log log, Gossip gossip) {
+public record Options(Log log, Gossip gossip, Policy policy, Nodes nodes) {
 
     /** How a line of the log is written. */
     public enum Format { TEXT, JSON }
@@ -41,7 +41,34 @@
         }
     }
 
+    /**
+     * The fleet's policy by a replicated log; read at the start alone. It needs gossip's keys, by which proxies know one another.
+     *
+     * @param voters names and addresses of those that vote, as {@code proxy-0=10.0.0.5:7947}; none where the local file alone counts
+     * @param listen a numeric address and port for TCP, at which a voter is reached
+     * @param folder where this proxy keeps the log and the last epoch; empty for {@code policy-} and its name in the folder for temporary files
+     * @param socket where {@code flintmill policy} asks; empty for nowhere
+     */
+    public record Policy(List<String> voters, String listen, String folder, String socket) {
+
+        public Policy {
+            voters = List.copyOf(voters);
+        }
+
+        public boolean enabled() {
+            return !voters.isEmpty();
+        }
+    }
+
+    /** {@code out} names cache nodes that are taken out of service. */
+    public record Nodes(List<String> out) {
+
+        public Nodes {
+            out = List.copyOf(out);
+        }
+    }
+
     /** What holds without a file. */
     public static final Options DEFAULTS = new Options(new Log(Format.TEXT, 10, 20, 10),
-            new Gossip(false, "127.0.0.1:7946", "", List.of(), "gossip.key", "gossip.ring", 4096, 200, "", 8));
+            new Gossip(false, "127.0.0.1:7946", "", List.of(), "gossip.key", "gossip.ring", 4096, 200, "", 8), new Policy(List.of(), "127.0.0.1:7947", "", ""), new Nodes(List.of()));
 }
--- a/src/main/java/hopglade/epoch/Message.java
+++ b/src/main/java/hopglade/epoch/Message.java
@@ -40,6 +40,9 @@
     /** To the leader: put this content in force after {@code base}. */
     record Propose(String id, long base, String content) implements Message { }
 
-    /** The leader's answer: the epoch that is in force now, or why nothing was changed. {@code known} is false where it can't be told. */
-    record Proposed(String id, long epoch, String refusal, boolean known) implements Message { }
+    /** How a proposal ended. */
+    enum Ending { IN_FORCE, REFUSED, NO_MAJORITY, UNKNOWN }
+
+    /** The leader's answer: the epoch that was prepared, or why not; after {@link Ending#UNKNOWN} it may yet take hold. */
+    record Proposed(String id, Ending ending, long epoch, String text) implements Message { }
 }
--- a/src/main/java/hopglade/epoch/PolicyMember.java
+++ b/src/main/java/hopglade/epoch/PolicyMember.java
@@ -4,6 +4,7 @@
 import hopglade.epoch.Epochs.Epoch;
 import hopglade.epoch.Epochs.Outcome;
 import hopglade.epoch.Epochs.Prepare;
+import hopglade.epoch.Message.Ending;
 import hopglade.epoch.Message.Hello;
 import hopglade.epoch.Message.Propose;
 import hopglade.epoch.Message.Proposed;
@@ -28,7 +29,7 @@
 
     /** How often voters are asked; more often while a change is under way. */
     public static final double ASK_MS = 250;
-    private static final double ASK_SOON_MS = 50;
+    private static final double ASK_SOON_MS = 100;
     /** How long a grant lasts. */
     public static final double LEASE_MS = 1000;
     /** A voter counts as reachable for so long after its last answer. */
@@ -84,8 +85,8 @@
         void event(What what, long epoch, double atMs);
     }
 
-    /** How a proposal ended: the epoch, or a refusal; {@code known} is false where it may yet take hold. */
-    public record Answer(long epoch, String refusal, boolean known) { }
+    /** How a proposal ended: the epoch that is in force, or why none is; {@code text} is for people. */
+    public record Answer(Ending ending, long epoch, String text) { }
 
     /** A proxy as a voter last heard it: the epoch in force there, and when it said so. */
     public record Seen(long epoch, boolean fenced, double at) { }
@@ -223,8 +224,8 @@
         for (Map.Entry<String, Waiting> e : List.copyOf(waiting.entrySet())) {
             if (now >= e.getValue().until()) {
                 waiting.remove(e.getKey());
-                e.getValue().then().accept(new Answer(0, (e.getValue().epoch() > 0 ? "prepared as epoch " + e.getValue().epoch() + " and not in force"
-                        : "no answer") + " after " + Math.round(PATIENCE_MS / 1000) + " s: the change may still take hold; see policy status", false));
+                e.getValue().then().accept(new Answer(Ending.UNKNOWN, 0, (e.getValue().epoch() > 0 ? "prepared as epoch " + e.getValue().epoch() + " and not in force"
+                        : "no answer") + " after " + Math.round(PATIENCE_MS / 1000) + " s: the change may still take hold; see policy status"));
             }
         }
     }
@@ -254,16 +255,16 @@
         } else if (message instanceof Welcome w && voters.contains(from)) {
             welcome(now, from, w, out);
         } else if (message instanceof Propose p && log != null) {
-            proposed(now, p, a -> out.send(from, new Proposed(p.id(), a.epoch(), a.refusal(), a.known())));
+            proposed(now, p, a -> out.send(from, new Proposed(p.id(), a.ending(), a.epoch(), a.text())));
         } else if (message instanceof Proposed p && voters.contains(from)) {
-            answered(p.id(), new Answer(p.epoch(), p.refusal(), p.known()));
+            answered(p.id(), new Answer(p.ending(), p.epoch(), p.text()));
         }
     }
 
     /** One that is prepared has ended once it is in force here. */
     private void answered(String id, Answer answer) {
         Waiting w = waiting.remove(id);
-        if (w != null && answer.refusal() == null && answer.epoch() > inForce) {
+        if (w != null && answer.ending() == Ending.IN_FORCE && answer.epoch() > inForce) {
             waiting.put(id, new Waiting(w.then(), w.until(), answer.epoch()));
         } else if (w != null) {
             w.then().accept(answer);
@@ -273,7 +274,7 @@
     private void inForceNow() {
         for (Map.Entry<String, Waiting> e : List.copyOf(waiting.entrySet())) {
             if (e.getValue().epoch() > 0 && e.getValue().epoch() <= inForce) {
-                answered(e.getKey(), new Answer(e.getValue().epoch(), null, true));
+                answered(e.getKey(), new Answer(Ending.IN_FORCE, e.getValue().epoch(), "epoch " + e.getValue().epoch() + " is in force"));
             }
         }
     }
@@ -378,13 +379,13 @@
     public void propose(double now, String content, Out out, Consumer<Answer> then) {
         String id = name + "-" + Math.round(now) + "-" + ++proposals;
         if (content.length() > Epochs.MOST_CONTENT) {
-            then.accept(new Answer(0, "longer than " + Epochs.MOST_CONTENT + " characters; nothing was changed", true));
+            then.accept(new Answer(Ending.REFUSED, 0, "longer than " + Epochs.MOST_CONTENT + " characters; nothing was changed"));
             return;
         }
         String leader = leader(now);
         if (reachable(now) < majority() || leader.isEmpty()) {
-            then.accept(new Answer(0, "only " + reachable(now) + " of " + voters.size() + " voters can be reached"
-                    + (leader.isEmpty() ? ", and none leads" : "") + "; nothing was changed", true));
+            then.accept(new Answer(Ending.NO_MAJORITY, 0, "only " + reachable(now) + " of " + voters.size() + " voters can be reached"
+                    + (leader.isEmpty() ? ", and none leads" : "") + "; nothing was changed"));
             return;
         }
         waiting.put(id, new Waiting(then, now + PATIENCE_MS, 0));
@@ -398,21 +399,21 @@
     /** At the leader; before anything is appended a majority has confirmed that it leads, so that a refusal is final. */
     private void proposed(double now, Propose p, Consumer<Answer> then) {
         if (!log.leads()) {
-            then.accept(new Answer(0, "the leader has changed; nothing was changed, try again", true));
+            then.accept(new Answer(Ending.REFUSED, 0, "the leader has changed; nothing was changed, try again"));
             return;
         }
         log.confirm(leads -> {
             if (!leads) {
-                then.accept(new Answer(0, "the leader can't reach a majority of voters; nothing was changed", true));
+                then.accept(new Answer(Ending.NO_MAJORITY, 0, "the leader can't reach a majority of voters; nothing was changed"));
                 return;
             }
             log.append(new Prepare(p.id(), p.base(), p.content()), o -> {
                 if (o == null) {
-                    then.accept(new Answer(0, "the leader was lost meanwhile: the change may still take hold; see policy status", false));
+                    then.accept(new Answer(Ending.UNKNOWN, 0, "the leader was lost meanwhile: the change may still take hold; see policy status"));
                 } else if (o.refusal() != null) {
-                    then.accept(new Answer(0, o.refusal(), true));
+                    then.accept(new Answer(Ending.REFUSED, 0, o.refusal()));
                 } else {
-                    then.accept(new Answer(o.epoch(), null, true));
+                    then.accept(new Answer(Ending.IN_FORCE, o.epoch(), "prepared as epoch " + o.epoch()));
                 }
             });
         });
--- a/src/main/java/hopglade/lab/ledger/PolicyLedger.java
+++ b/src/main/java/hopglade/lab/ledger/PolicyLedger.java
@@ -1,5 +1,6 @@
 package hopglade.lab.ledger;
 
+import hopglade.epoch.Message;
 import hopglade.lab.Experiment;
 import hopglade.lab.ledger.Rules.Rule;
 import hopglade.lab.ledger.Rules.Violation;
@@ -34,12 +35,15 @@
     private static final class Proposal {
         final double at;
         double answeredAt = Double.NaN;
-        long epoch;
-        boolean refused;
+        Message.Ending ending = Message.Ending.UNKNOWN;
 
         Proposal(double at) {
             this.at = at;
         }
+
+        boolean refused() {
+            return ending == Message.Ending.REFUSED || ending == Message.Ending.NO_MAJORITY;
+        }
     }
 
     private final int proxies;
@@ -88,17 +92,16 @@
         proposals.put(content, new Proposal(at));
     }
 
-    /** How it ended; {@code known} is false where it may yet take hold. */
-    public synchronized void answered(String content, long epoch, boolean refused, boolean known, double at) {
+    /** How it ended. */
+    public synchronized void answered(String content, Message.Ending ending, double at) {
         Proposal p = proposals.get(content);
         p.answeredAt = at;
-        p.epoch = epoch;
-        p.refused = refused && known;
+        p.ending = ending;
     }
 
-    /** A proxy runs an epoch from now on. */
+    /** A proxy runs an epoch from now on; {@code content} is null where it could not say it. */
     public synchronized void applied(int proxy, long epoch, String content, double at) {
-        String known = contents.putIfAbsent(epoch, content);
+        String known = content == null ? null : contents.putIfAbsent(epoch, content);
         if (known != null && !known.equals(content)) {
             broken(proxy, at, "runs other content as epoch " + epoch + " than another proxy");
         }
@@ -157,7 +160,7 @@
             }
         }
         proposals.forEach((content, p) -> {
-            if (p.refused && contents.containsValue(content)) {
+            if (p.refused() && contents.containsValue(content)) {
                 all.add(new Violation(Rule.POLICY, "proposal", p.answeredAt, "was refused and took hold"));
             }
         });
@@ -170,8 +173,8 @@
         int refused = 0;
         int unknown = 0;
         for (Proposal p : proposals.values()) {
-            refused += p.refused ? 1 : 0;
-            unknown += !p.refused && p.epoch == 0 ? 1 : 0;
+            refused += p.refused() ? 1 : 0;
+            unknown += p.ending == Message.Ending.UNKNOWN ? 1 : 0;
         }
         proposals.forEach((content, p) -> contents.forEach((epoch, c) -> {
             Map<Integer, Double> at = appliedAt.getOrDefault(epoch, Map.of());
--- a/src/main/java/hopglade/lab/sockets/SocketPeers.java
+++ b/src/main/java/hopglade/lab/sockets/SocketPeers.java
@@ -96,7 +96,8 @@
     }
 
     /** Each proxy gossips at the address of its clients, by UDP, and is known to the others by the relay's. */
-    static void write(Path directory, Experiment experiment, List<InetSocketAddress> addresses, PacketRelay relay) throws IOException {
+    static void write(Path directory, Experiment experiment, List<InetSocketAddress> addresses, PacketRelay relay,
+                      SocketPolicy policy) throws IOException {
         Path ring = directory.resolve("gossip.ring");
         Files.deleteIfExists(ring);
         String seeds = seeds(experiment, relay).stream().map(t -> '"' + t + '"').collect(Collectors.joining(", "));
@@ -114,7 +115,7 @@
                     bytes_per_s = %d
                     health_most = %d
                     """.formatted(text(addresses.get(i)), text(relay.address(i)), seeds, key, ring, experiment.gossip().bytesPerS(),
-                    experiment.gossip().health() ? Options.DEFAULTS.gossip().healthMost() : 0));
+                    experiment.gossip().health() ? Options.DEFAULTS.gossip().healthMost() : 0) + policy.options(i));
         }
     }
 
--- /dev/null
+++ b/src/main/java/hopglade/lab/sockets/SocketPolicy.java
@@ -0,0 +1,179 @@
+package hopglade.lab.sockets;
+
+import hopglade.epoch.Message.Ending;
+import hopglade.lab.Experiment;
+import hopglade.lab.faults.PeerLinks;
+import hopglade.lab.faults.PolicyText;
+import hopglade.lab.ledger.PolicyLedger;
+import hopglade.raft.PolicySocket;
+import io.netty.channel.EventLoop;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** The fleet's policy among proxies on sockets: their options, the relays between them, proposals, and what their logs tell. */
+final class SocketPolicy {
+
+    private static final double NS_PER_MS = 1e6;
+    private static final String EVENTS = "policy_";
+
+    private final Experiment experiment;
+    private final RunClock clock;
+    private final PeerLinks links;
+    private final Path directory;
+    private final StreamRelay relay;
+    private final PolicyLedger ledger;
+    private final List<InetSocketAddress> voters = new ArrayList<>();
+    private final AtomicInteger proposals = new AtomicInteger();
+    private final boolean[] running;
+    private final double[] stoppedUntil;
+    private volatile int leader = -1;
+
+    SocketPolicy(Experiment experiment, RunClock clock, PeerLinks links, Path directory, EventLoop loop) {
+        this.experiment = experiment;
+        this.clock = clock;
+        this.links = links;
+        this.directory = directory;
+        this.relay = new StreamRelay(loop, clock, links);
+        this.ledger = new PolicyLedger(experiment);
+        this.running = new boolean[experiment.proxies().count()];
+        this.stoppedUntil = new double[running.length];
+        java.util.Arrays.fill(running, true);
+    }
+
+    boolean on() {
+        return experiment.policy().voters() > 0;
+    }
+
+    /** Finds each voter an address, and a way from each proxy to it. */
+    void open(List<InetSocketAddress> proxies) throws IOException, InterruptedException {
+        for (int to = 0; to < experiment.policy().voters(); to++) {
+            try (ServerSocket free = new ServerSocket()) {
+                free.bind(new InetSocketAddress(proxies.get(to).getAddress(), 0));
+                voters.add(new InetSocketAddress(proxies.get(to).getAddress(), free.getLocalPort()));
+            }
+            for (int from = 0; from < proxies.size(); from++) {
+                if (from != to) {
+                    relay.open(from, to, proxies.get(to).getAddress(), voters.get(to));
+                }
+            }
+        }
+    }
+
+    private Path socket(int proxy) {
+        return directory.resolve("p" + proxy + ".sock");
+    }
+
+    /** What stands in a proxy's options; a voter's own place among the voters is its true address. */
+    String options(int proxy) {
+        if (!on()) {
+            return "";
+        }
+        List<String> named = new ArrayList<>();
+        for (int v = 0; v < voters.size(); v++) {
+            InetSocketAddress at = v == proxy ? voters.get(v) : relay.address(proxy, v);
+            named.add("\"proxy-" + v + "=" + at.getAddress().getHostAddress() + ":" + at.getPort() + "\"");
+        }
+        String listen = proxy < voters.size() ? "listen = \"" + voters.get(proxy).getAddress().getHostAddress() + ":" + voters.get(proxy).getPort() + "\"\n" : "";
+        return "\n[policy]\nvoters = [" + String.join(", ", named) + "]\n" + listen + "socket = \"" + socket(proxy) + "\"\n";
+    }
+
+    /** An event of a proxy's log; its own time is that of the machine's monotonic clock. */
+    void saw(int proxy, String event, String subject, String evidence) {
+        if (!on() || !event.startsWith(EVENTS) || !evidence.startsWith("at:")) {
+            return;
+        }
+        double at = clock.now() - (System.nanoTime() / NS_PER_MS - Double.parseDouble(evidence.substring("at:".length())));
+        long epoch = Long.parseLong(subject);
+        switch (event.substring(EVENTS.length()).toUpperCase(Locale.ROOT)) {
+            case "APPLIED" -> ledger.applied(proxy, epoch, content(proxy, epoch), at);
+            case "CURRENT" -> ledger.current(proxy, epoch, at);
+            case "NOT_CURRENT" -> ledger.notCurrent(proxy, at);
+            case "FENCED" -> ledger.fenced();
+            case "LEADS" -> leader = proxy;
+            default -> { }
+        }
+    }
+
+    /** What the proxy itself says that an epoch holds. */
+    private String content(int proxy, long epoch) {
+        try {
+            String all = PolicySocket.ask(socket(proxy), "history", "", 0).text();
+            String mine = List.of(all.split("(?m)^# epoch ")).stream().filter(e -> e.startsWith(epoch + ",")).findFirst().orElse(null);
+            return mine == null ? null : mine.substring(mine.indexOf('\n') + 1).strip() + "\n";
+        } catch (IOException e) {
+            return null;
+        }
+    }
+
+    void ended(int proxy) {
+        if (on()) {
+            running[proxy] = false;
+            ledger.ended(proxy, clock.now());
+        }
+    }
+
+    void started(int proxy) {
+        if (on()) {
+            running[proxy] = true;
+            ledger.started(proxy);
+        }
+    }
+
+    void stopped(int proxy, double until) {
+        stoppedUntil[proxy] = until;
+    }
+
+    /** From now on it should soon be current, if a majority of voters is there and nothing is cut. */
+    void back(int proxy) {
+        double now = clock.now();
+        int there = 0;
+        for (int v = 0; v < voters.size(); v++) {
+            there += running[v] && now >= stoppedUntil[v] && !links.cut(v, proxy, now) && !links.cut(proxy, v, now) ? 1 : 0;
+        }
+        if (on() && running[proxy] && 2 * there > voters.size()) {
+            ledger.back(proxy, now);
+        }
+    }
+
+    /** A cut is over. */
+    void healed() {
+        for (int i = 0; i < running.length; i++) {
+            back(i);
+        }
+    }
+
+    /** An operator at this proxy; returns once it has an answer. */
+    String propose(int proxy) {
+        String content = PolicyText.number(proposals.incrementAndGet());
+        ledger.proposed(content, clock.now());
+        try {
+            PolicySocket.Told told = PolicySocket.ask(socket(proxy), "propose", content, 0);
+            Ending ending = switch (told.exit()) {
+                case 0 -> Ending.IN_FORCE;
+                case PolicySocket.NO_MAJORITY -> Ending.NO_MAJORITY;
+                case PolicySocket.UNKNOWN -> Ending.UNKNOWN;
+                default -> Ending.REFUSED;
+            };
+            ledger.answered(content, ending, clock.now());
+            return told.text();
+        } catch (IOException e) {
+            ledger.answered(content, Ending.UNKNOWN, clock.now());
+            return "no answer: " + e.getMessage();
+        }
+    }
+
+    /** The proxy that last said that it leads, or -1. */
+    int leader() {
+        return leader;
+    }
+
+    PolicyLedger ledger() {
+        return ledger;
+    }
+}
--- a/src/main/java/hopglade/lab/sockets/SocketRun.java
+++ b/src/main/java/hopglade/lab/sockets/SocketRun.java
@@ -36,7 +36,9 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.Callable;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -89,12 +91,14 @@
     private final List<Violation> seen = Collections.synchronizedList(new ArrayList<>());
     private final Map<String, Double> outside = new HashMap<>();
     private final int[] levels;
+    private final Set<Integer> down = ConcurrentHashMap.newKeySet();
     private Machines machines;
     private Clients clients;
     private HostilePeers hostile;
     private final PeerLinks peerLinks;
     /** Null without gossip. */
     private PacketRelay relay;
+    private final SocketPolicy policy;
     private final World.Effects effects = new Acts();
     private final Strikes strikes;
 
@@ -112,6 +116,7 @@
                 Draw.generator(experiment.seed(), Draw.Stream.WORLD));
         this.strikes = new Strikes(world, effects, plan, ledger);
         this.peerLinks = new PeerLinks(experiment.proxies().count(), Draw.generator(experiment.seed(), Draw.Stream.GOSSIP));
+        this.policy = new SocketPolicy(experiment, clock, peerLinks, this.directory, clientGroup.next());
     }
 
     private final class Acts implements World.Effects {
@@ -195,6 +200,7 @@
             addresses.add(proxies.get(i).address);
             int proxy = i;
             proxies.get(i).onEvents((event, subject, evidence) -> {
+                policy.saw(proxy, event, subject, evidence);
                 if (event.startsWith(GOSSIP)) {
                     membership.saw(proxy, event.substring(GOSSIP.length()), subject, evidence, clock.now());
                 }
@@ -203,7 +209,8 @@
         if (experiment.gossip().enabled()) {
             relay = new PacketRelay(clientGroup.next(), clock, peerLinks, addresses);
             relay.open();
-            SocketPeers.write(directory, experiment, addresses, relay);
+            policy.open(addresses);
+            SocketPeers.write(directory, experiment, addresses, relay, policy);
         }
         clients = new Clients(clientGroup.next(), clock, experiment, load, ledger, addresses, plan.proxyZones());
         machines = new Machines(loop, clock, plan, world, effects, ledger, clients, writes, IDLE_MS,
@@ -298,7 +305,18 @@
                 case PROXY_STARVED -> eachProxy(this::starve);
                 case MACHINE_BUSY -> busy();
                 case LIAR_ACCUSES, LIAR_PRAISES, LIAR_FLIPS -> lie();
-                case GOSSIP_CUT, GOSSIP_SPLIT, GOSSIP_LOSS, GOSSIP_DEAF, GOSSIP_MUTE, GOSSIP_ONEWAY -> clientGroup.next().execute(() -> peerLinks.begin(fault));
+                case GOSSIP_CUT, GOSSIP_SPLIT, GOSSIP_LOSS, GOSSIP_DEAF, GOSSIP_MUTE, GOSSIP_ONEWAY -> {
+                    clientGroup.next().execute(() -> peerLinks.begin(fault));
+                    hands.schedule(policy::healed, clock.nanosUntil(fault.endMs() + LOOK_MS), TimeUnit.NANOSECONDS);
+                }
+                case POLICY_PROPOSE -> eachProxy(i -> mark("proxy-" + i + " proposed: " + policy.propose(i)));
+                case LEADER_KILL -> {
+                    int leader = policy.leader();
+                    mark("the leader is " + (leader < 0 ? "nobody" : "proxy-" + leader));
+                    if (leader >= 0) {
+                        hands.execute(() -> kill(leader));
+                    }
+                }
                 case PROXY_BLIND -> {
                     onLoop(() -> agents(i -> machines.blind(i, true)));
                     atEnd(() -> agents(i -> machines.blind(i, false)));
@@ -368,6 +386,7 @@
                 }
                 proxies.get(i).end();
                 membership.ended(i, clock.now());
+                policy.ended(i);
                 clients.inService(i, false);
                 startAgain(i);
                 return null;
@@ -375,10 +394,15 @@
         }
 
         private void kill(int i) {
+            if (!down.add(i)) {
+                // It is on its way back already; a second start would take the first one's address.
+                return;
+            }
             attempt(() -> {
                 ledger.excuse(new Ledger.Excuse(i, clock.now(), clock.now() + experiment.proxies().noticeS() * MS_PER_S, "SIGKILL"));
                 proxies.get(i).signal("KILL");
                 membership.ended(i, clock.now());
+                policy.ended(i);
                 hands.schedule(() -> clients.inService(i, false), (long) (experiment.proxies().noticeS() * MS_PER_S), TimeUnit.MILLISECONDS);
                 proxies.get(i).awaitExit(READY_MS);
                 startAgain(i);
@@ -390,10 +414,13 @@
             Thread.sleep(TimeUnit.NANOSECONDS.toMillis(clock.nanosUntil(clock.now() + fault.forS() * MS_PER_S)));
             proxies.get(i).configure(loop.submit((Callable<JsonObject>) () -> config(i)).get());
             membership.started(i, clock.now());
+            policy.started(i);
+            down.remove(i);
             proxies.get(i).start(discoveries.get(i).dial());
             double begun = clock.now();
             if (proxies.get(i).awaitReady(READY_MS)) {
                 clients.inService(i, true);
+                policy.back(i);
                 mark("proxy-" + i + " is ready again after " + Math.round(clock.now() - begun) + " ms");
                 synchronized (outside) {
                     outside.merge("proxy.ready_again_ms_max", clock.now() - begun, Math::max);
@@ -418,9 +445,11 @@
             attempt(() -> {
                 double until = clock.now() + fault.forS() * MS_PER_S;
                 ledger.excuse(new Ledger.Excuse(i, clock.now(), until + SETTLE_MS, "SIGSTOP"));
+                policy.stopped(i, until);
                 proxies.get(i).signal("STOP");
                 Thread.sleep(TimeUnit.NANOSECONDS.toMillis(clock.nanosUntil(until)));
                 proxies.get(i).signal("CONT");
+                policy.back(i);
                 return null;
             });
         }
@@ -499,6 +528,10 @@
         }
         if (experiment.gossip().enabled()) {
             outside.putAll(membership.figures());
+            if (policy.on()) {
+                outside.putAll(policy.ledger().figures());
+                seen.addAll(policy.ledger().violations());
+            }
             outside.put("gossip.bytes_per_s", proxies.stream().mapToDouble(ProxyProcess::gossipBytesPerS).max().orElse(0));
         }
         outside.put("proxy.cpu_s", java.util.Arrays.stream(cpu).sum());
--- a/src/main/java/hopglade/lab/virtual/VirtualPolicy.java
+++ b/src/main/java/hopglade/lab/virtual/VirtualPolicy.java
@@ -251,8 +251,8 @@
         String content = PolicyText.number(++proposals);
         ledger.proposed(content, agenda.now());
         life.when(() -> life.member.propose(agenda.now(), content, life, a -> {
-            mark.accept(name(proxy) + " proposed: " + (a.refusal() == null ? "epoch " + a.epoch() : a.refusal()));
-            ledger.answered(content, a.epoch(), a.refusal() != null, a.known(), agenda.now());
+            mark.accept(name(proxy) + " proposed: " + a.text());
+            ledger.answered(content, a.ending(), agenda.now());
         }));
     }
 
--- a/src/main/java/hopglade/proxy/Operations.java
+++ b/src/main/java/hopglade/proxy/Operations.java
@@ -89,6 +89,11 @@
         });
     }
 
+    /** Whether operators hold a node out at this proxy. */
+    boolean isOut(String node) {
+        return out.contains(node);
+    }
+
     private void drained(boolean begins) {
         Log.event(begins ? "emptying" : "filling", "clients", clients.connections());
         clients.empty(begins);
--- a/src/main/java/hopglade/proxy/Service.java
+++ b/src/main/java/hopglade/proxy/Service.java
@@ -75,6 +75,8 @@
     private final Clock clock = new Clock();
     /** Null where this proxy shares nothing. */
     private Sharing sharing;
+    /** Null where this proxy goes by its own file alone. */
+    private Governing governing;
     private InetSocketAddress listening;
     /** Whether {@link #finish} looks already whether anything is left. */
     private boolean ending;
@@ -145,23 +147,19 @@
 
     /** Starts a proxy with the project's decisions. */
     public static Service start(Config config, Options options) throws IOException, InterruptedException, ConfigException {
-        return start(config, new Decide(config.settings(), config.seed()), options.gossip(), true, UNTOLD_MS);
+        return start(config, new Decide(config.settings(), config.seed()), options, true, UNTOLD_MS);
     }
 
     /** For tests: opens the clients' address after so long at the latest. */
     static Service start(Config config, Router router, long untoldMs) throws IOException, InterruptedException, ConfigException {
-        return start(config, router, Options.DEFAULTS.gossip(), false, untoldMs);
+        return start(config, router, Options.DEFAULTS, false, untoldMs);
     }
 
     static Service start(Config config, Router router) throws IOException, InterruptedException, ConfigException {
-        return start(config, router, Options.DEFAULTS.gossip());
+        return start(config, router, Options.DEFAULTS, false, 0);
     }
 
-    static Service start(Config config, Router router, Options.Gossip gossip) throws IOException, InterruptedException, ConfigException {
-        return start(config, router, gossip, false, 0);
-    }
-
-    private static Service start(Config config, Router router, Options.Gossip gossip, boolean warm, long untoldMs)
+    private static Service start(Config config, Router router, Options options, boolean warm, long untoldMs)
             throws IOException, InterruptedException, ConfigException {
         Service service = new Service(config, router);
         try {
@@ -172,10 +170,13 @@
             if (warm) {
                 Warmup.run(config.settings(), config.peerListen(), config.known(), config.replaces());
             }
-            if (gossip.enabled()) {
-                service.join(gossip);
+            if (options.gossip().enabled()) {
+                service.join(options.gossip());
             }
             service.open(untoldMs);
+            if (options.policy().enabled()) {
+                service.govern(options);
+            }
         } catch (IOException | ConfigException e) {
             service.group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
             throw e;
@@ -189,6 +190,10 @@
         loop.submit(() -> proxy.watch(sharing)).sync();
     }
 
+    private void govern(Options own) throws IOException, InterruptedException {
+        governing = Governing.open(loop, own, config.seed(), proxy, n -> operations != null && operations.isOut(n), this::configure);
+    }
+
     private void heard() {
         clients.ready();
         told.countDown();
@@ -325,6 +330,9 @@
             if (sharing != null) {
                 sharing.close();
             }
+            if (governing != null) {
+                governing.close();
+            }
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS).addListener(f -> ended.countDown());
         }
     }
@@ -364,6 +372,9 @@
         }
         lastStateMs = at;
         lastCpu = cpu;
+        if (governing != null) {
+            governing.look();
+        }
         String now = proxy.state();
         if (!now.equals(state)) {
             state = now;
--- a/src/main/java/hopglade/raft/Codec.java
+++ b/src/main/java/hopglade/raft/Codec.java
@@ -35,7 +35,6 @@
 
     private Codec() { }
 
-
     // Log entries.
 
     static JsonObject entry(LogEntry e) {
@@ -232,11 +231,9 @@
         } else if (m instanceof Message.Proposed p) {
             o.addProperty("t", "proposed");
             o.addProperty("id", p.id());
+            o.addProperty("ending", p.ending().name());
             o.addProperty("epoch", p.epoch());
-            o.addProperty("known", p.known());
-            if (p.refusal() != null) {
-                o.addProperty("refusal", p.refusal());
-            }
+            o.addProperty("text", p.text());
         }
         return o;
     }
@@ -252,8 +249,8 @@
                         o.get("term").getAsInt(), o.get("applied").getAsLong(), o.get("led").getAsBoolean());
             }
             case "propose" -> new Message.Propose(o.get("id").getAsString(), o.get("base").getAsLong(), o.get("content").getAsString());
-            case "proposed" -> new Message.Proposed(o.get("id").getAsString(), o.get("epoch").getAsLong(),
-                    o.has("refusal") ? o.get("refusal").getAsString() : null, o.get("known").getAsBoolean());
+            case "proposed" -> new Message.Proposed(o.get("id").getAsString(), Message.Ending.valueOf(o.get("ending").getAsString()),
+                    o.get("epoch").getAsLong(), o.get("text").getAsString());
             default -> throw new IllegalArgumentException("no such message: " + o.get("t"));
         };
     }
--- a/src/test/java/hopglade/HouseRulesTest.java
+++ b/src/test/java/hopglade/HouseRulesTest.java
@@ -32,10 +32,10 @@
 
     @Test
     void decisionPackagesUseTheJdkAlone() {
-        String[] packages = {"hopglade.measure..", "hopglade.maintenance.."};
+        String[] packages = {"hopglade.measure..", "hopglade.maintenance..", "hopglade.epoch.."};
         holds(noClasses().that().resideInAnyPackage(packages).should().dependOnClassesThat().resideInAnyPackage(CLOCKS_SOCKETS_THREADS));
         holds(noClasses().that().resideInAnyPackage(packages).should().dependOnClassesThat()
-                .resideInAnyPackage("hopglade.proxy..", "hopglade.lab..", "hopglade.config..", "hopglade.admin..", "hopglade.store.."));
+                .resideInAnyPackage("hopglade.proxy..", "hopglade.lab..", "hopglade.config..", "hopglade.admin..", "hopglade.store..", "hopglade.raft..", "io.microraft.."));
         holds(noClasses().that().resideInAnyPackage(packages).should().callMethod(System.class, "nanoTime")
                 .orShould().callMethod(System.class, "currentTimeMillis"));
     }
@@ -66,6 +66,8 @@
         // Where gossip is off nothing of it may be loaded, and what the proxy's other classes name is.
         holds(noClasses().that().resideInAPackage("hopglade.proxy..").and().haveNameNotMatching(".*\\.Sharing(\\$.*)?").should()
                 .dependOnClassesThat().resideInAnyPackage("hopglade.gossip..", "hopglade.membership.."));
+        holds(noClasses().that().resideInAPackage("hopglade.proxy..").and().haveNameNotMatching(".*\\.Governing(\\$.*)?").should()
+                .dependOnClassesThat().resideInAnyPackage("hopglade.raft..", "hopglade.epoch..", "io.microraft.."));
     }
 
     @Test
--- a/src/test/java/hopglade/config/MistakesTest.java
+++ b/src/test/java/hopglade/config/MistakesTest.java
@@ -30,12 +30,12 @@
             [log];;;odd_window_s = true          | f:4: log.odd_window_s: found true, allowed is a whole number from 1 to 3600
             log = "json"                         | f:1: log: found "json", allowed is a table [log]
             log.tally_s = 9999                   | f:1: log.tally_s: found 9999, allowed is a whole number from 1 to 3600
-            [logs]                               | f:1: logs: unknown key, allowed is log, gossip (nearest: log)
+            [logs]                               | f:1: logs: unknown key, allowed is log, gossip, policy, nodes (nearest: log)
             [gossip];enabled = 1                 | f:2: gossip.enabled: found 1, allowed is true or false
             [gossip];listen = "bogota:1"         | f:2: gossip.listen: found "bogota:1", allowed is a numeric address and port, as 10.0.0.5:7946
             [gossip];seeds = ["10.0.0.1"]        | f:2: gossip.seeds: found "10.0.0.1", allowed is a numeric address and port, as 10.0.0.5:7946
             [gossip];bytes_per_s = 100           | f:2: gossip.bytes_per_s: found 100, allowed is a whole number from 4096 to 1048576
-            [log];tally_s = 5;[extra];a = 1      | f:3: extra: unknown key, allowed is log, gossip
+            [log];tally_s = 5;[extra];a = 1      | f:3: extra: unknown key, allowed is log, gossip, policy, nodes
             """)
     void inTheOptions(String text, String message) {
         BadFileException e = assertThrows(BadFileException.class,
--- a/src/test/java/hopglade/proxy/OptionsReloadTest.java
+++ b/src/test/java/hopglade/proxy/OptionsReloadTest.java
@@ -42,7 +42,7 @@
                 assertEquals(200, Site.status(client.read()));
             }
             assertTrue(moved.heardNothing());
-            next[0] = new Options(new Options.Log(Options.Format.TEXT, 60, 20, 10), Options.DEFAULTS.gossip());
+            next[0] = new Options(new Options.Log(Options.Format.TEXT, 60, 20, 10), Options.DEFAULTS.gossip(), Options.DEFAULTS.policy(), Options.DEFAULTS.nodes());
             site.service.reload(environment);
             assertTrue(moved.next().firstLine().startsWith("GET /discovery/hosts"));
         }
