--- a/src/main/java/hopglade/lab/sockets/ProxyProcess.java
+++ b/src/main/java/hopglade/lab/sockets/ProxyProcess.java
@@ -13,6 +13,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Comparator;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -32,6 +33,7 @@
     private static final Pattern LEVEL = Pattern.compile("\\bcontrol level=(\\d+)");
     private static final Pattern EVENT = Pattern.compile("\\b([a-z]+_[a-z_]+) subject=(\\S+) evidence=(?:\"([^\"]*)\"|(\\S*))");
     private static final Pattern GOSSIP = Pattern.compile("\\bgossip_tally sent=(\\d+) bytes=(\\d+)");
+    private static final String TEMPORARY = ".tmp";
     private static final long READY_POLL_MS = 20;
     private static final double TICKS_PER_S = 100;
     private static final double KB_PER_MB = 1024;
@@ -67,6 +69,7 @@
         this.root = root;
         this.run = run;
         this.config = directory.resolve(name + ".json");
+        forget(directory.resolve(name + TEMPORARY));
         this.log = new PrintWriter(Files.newBufferedWriter(directory.resolve(name + ".log")));
         // The address is this run's own, so nobody else takes the port between this and the proxy's own bind.
         try (ServerSocket free = new ServerSocket()) {
@@ -75,6 +78,17 @@
         }
     }
 
+    /** What an earlier run's proxy of this name kept is none of this one's. */
+    private static void forget(Path folder) throws IOException {
+        if (Files.isDirectory(folder)) {
+            try (Stream<Path> all = Files.walk(folder)) {
+                for (Path path : all.sorted(Comparator.reverseOrder()).toList()) {
+                    Files.delete(path);
+                }
+            }
+        }
+    }
+
     /** Names who is told of its events; before the first start. Called by the thread that reads its log. */
     void onEvents(Events taker) {
         events = taker;
@@ -88,7 +102,7 @@
     }
 
     void start(String discovery) throws IOException {
-        Path temporary = Files.createDirectories(directory.resolve(name + ".tmp"));
+        Path temporary = Files.createDirectories(directory.resolve(name + TEMPORARY));
         ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", KEEPER, "keeper", run).directory(root.toFile()).redirectErrorStream(true);
         Map<String, String> environment = builder.environment();
         environment.put("BALANCER_NAME", name);
