--- /dev/null
+++ b/src/test/java/hopglade/lab/virtual/PolicyDaysTest.java
@@ -0,0 +1,112 @@
+package hopglade.lab.virtual;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import hopglade.config.Toml;
+import hopglade.epoch.Message.Ending;
+import hopglade.lab.Experiment;
+import hopglade.lab.ExperimentFile;
+import hopglade.lab.ledger.PolicyLedger;
+import hopglade.lab.report.Results;
+import java.util.Locale;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+/** Changes of policy while proxies die, stand still and are cut off, in virtual time: days drawn from seeds, and the hard cases. */
+class PolicyDaysTest {
+
+    private static final String FLEET = """
+            name = "policy"
+            seed = %d
+            duration_s = %d
+            [fleet]
+            nodes = 3
+            keys = 100
+            [proxies]
+            count = 7
+            [gossip]
+            enabled = true
+            [policy]
+            voters = %d
+            [load]
+            rate = 5
+            lateness_ms = 10000
+            [rules]
+            slack_ms = 5000
+            """;
+
+    private static Results play(long seed, int durationS, int voters, String faults) throws Exception {
+        return new VirtualRun(ExperimentFile.of(Toml.parse("test.toml", FLEET.formatted(seed, durationS, voters) + faults))).play();
+    }
+
+    private static String fault(String what, double atS, String more) {
+        return String.format(Locale.ROOT, "[[fault]]%nwhat = \"%s\"%nat_s = %.3f%n%s%n", what, atS, more);
+    }
+
+    /** Six proposals and eight faults at random moments, then fifteen quiet seconds in which all must become current. */
+    @Test
+    void onDrawnDaysNoTwoAreCurrentAtDifferentEpochsAndAllAreInTheEnd() throws Exception {
+        String[] kinds = {"gossip-split", "gossip-cut", "gossip-deaf", "proxy-stop", "proxy-kill", "leader-kill", "gossip-loss"};
+        int epochs = 0;
+        for (int seed = 1; seed <= 12; seed++) {
+            Random random = new Random(seed);
+            StringBuilder faults = new StringBuilder();
+            for (int i = 0; i < 6; i++) {
+                faults.append(fault("policy-propose", 4 + random.nextDouble() * 26, "proxy = \"proxy-" + random.nextInt(7) + "\""));
+            }
+            for (int i = 0; i < 8; i++) {
+                String kind = kinds[random.nextInt(kinds.length)];
+                String target = random.nextInt(6) == 0 ? "*" : random.nextInt(3) == 0 ? "40%" : "proxy-" + random.nextInt(7);
+                String more = String.format(Locale.ROOT, "for_s = %.3f%n", 0.2 + random.nextDouble() * 6);
+                more += kind.equals("gossip-loss") ? "share = 0.4" : kind.equals("leader-kill") ? "" : "proxy = \"" + target + "\"";
+                faults.append(fault(kind, 3 + random.nextDouble() * 25, more));
+            }
+            Results results = play(seed, 50, seed % 2 == 0 ? 3 : 5, faults.toString());
+            String day = "seed " + seed + ": " + results.violations() + results.figures();
+            assertTrue(results.violations().stream().noneMatch(v -> v.startsWith("policy")), day);
+            assertEquals(0, results.figures().get("policy.behind_at_end"), day);
+            assertEquals(0, results.figures().get("policy.not_current_at_end"), day);
+            epochs += results.figures().get("policy.epochs").intValue();
+        }
+        assertTrue(epochs > 12, "changes did take hold: " + epochs);
+    }
+
+    @Test
+    void aLeaderThatDiesAroundTheCommitLeavesTheChangeEverywhereOrNowhere() throws Exception {
+        for (double after : new double[] {0.001, 0.01, 0.03, 0.08, 0.15, 0.3}) {
+            Results results = play(3, 30, 5, fault("policy-propose", 6, "proxy = \"proxy-6\"") + fault("leader-kill", 6 + after, "for_s = 4"));
+            assertTrue(results.violations().stream().noneMatch(v -> v.startsWith("policy")), after + " " + results.violations());
+            assertEquals(0, results.figures().get("policy.behind_at_end"), after + " " + results.figures());
+            assertEquals(0, results.figures().get("policy.not_current_at_end"));
+        }
+    }
+
+    @Test
+    void onTheSideOfTheFewAChangeIsRefusedAndNeverTakesHold() throws Exception {
+        Results results = play(2, 30, 5, fault("gossip-split", 5, "proxy = \"30%\"\nfor_s = 10") + fault("policy-propose", 9, "proxy = \"*\""));
+        assertTrue(results.violations().stream().noneMatch(v -> v.startsWith("policy")), results.violations().toString());
+        assertEquals(1, results.figures().get("policy.epochs"));
+        assertEquals(6, results.figures().get("policy.refused"));
+        assertEquals(0, results.figures().get("policy.not_current_at_end"));
+    }
+
+    @Test
+    void theLedgerNamesTwoThatAreCurrentAtOnceAndARefusalThatTookHold() throws Exception {
+        Experiment experiment = ExperimentFile.of(Toml.parse("test.toml", FLEET.formatted(1, 10, 3)));
+        PolicyLedger ledger = new PolicyLedger(experiment);
+        ledger.proposed("x", 0);
+        ledger.answered("x", Ending.NO_MAJORITY, 10);
+        ledger.current(0, 0, 0);
+        ledger.applied(1, 1, "x", 50);
+        ledger.current(1, 1, 60);
+        ledger.notCurrent(0, 55);
+        assertEquals(1, ledger.violations().size(), "the refusal alone: the first one's time had ended");
+        ledger.current(0, 0, 70);
+        assertEquals(2, ledger.violations().size());
+        assertFalse(ledger.violations().get(0).toString().isEmpty());
+        ledger.applied(2, 1, "y", 80);
+        assertEquals(3, ledger.violations().size(), "other content under one number");
+    }
+}
