--- a/src/test/java/hopglade/lab/virtual/PolicyDaysTest.java
+++ b/src/test/java/hopglade/lab/virtual/PolicyDaysTest.java
@@ -45,12 +45,12 @@
         return String.format(Locale.ROOT, "[[fault]]%nwhat = \"%s\"%nat_s = %.3f%n%s%n", what, atS, more);
     }
 
-    /** Eight faults, most followed by a proposal within a lease, then fifteen quiet seconds in which all must become current. */
+    /** Eight faults, each followed by a proposal within a lease, then fifteen quiet seconds in which all must become current; {@code -Dpolicy.seeds=100} plays more. */
     @Test
     void onDrawnDaysNoTwoAreCurrentAtDifferentEpochsAndAllAreInTheEnd() throws Exception {
         String[] kinds = {"gossip-split", "gossip-cut", "gossip-deaf", "proxy-stop", "proxy-kill", "leader-kill", "gossip-loss"};
         int epochs = 0;
-        for (int seed = 1; seed <= 12; seed++) {
+        for (int seed = 1; seed <= Integer.getInteger("policy.seeds", 12); seed++) {
             Random random = new Random(seed);
             StringBuilder faults = new StringBuilder();
             for (int i = 0; i < 8; i++) {
@@ -69,7 +69,7 @@
             assertEquals(0, results.figures().get("policy.not_current_at_end"), day);
             epochs += results.figures().get("policy.epochs").intValue();
         }
-        assertTrue(epochs > 12, "changes did take hold: " + epochs);
+        assertTrue(epochs > Integer.getInteger("policy.seeds", 12), "changes did take hold: " + epochs);
     }
 
     /** Who hears nothing of a change still relies on what it was granted, for a lease. */
