--- a/src/main/java/hopglade/proxy/ClientServer.java
+++ b/src/main/java/hopglade/proxy/ClientServer.java
@@ -160,6 +160,10 @@
         long now = System.nanoTime();
         sweptBefore = sweptAt;
         sweptAt = now;
+        if (standstillMs() > SWEEP_MS) {
+            // What has come meanwhile lies unread: who seems silent may have asked long ago.
+            return;
+        }
         List.copyOf(connections).forEach(c -> c.sweep(now));
     }
 
--- a/src/test/java/hopglade/proxy/ClientTest.java
+++ b/src/test/java/hopglade/proxy/ClientTest.java
@@ -122,6 +122,26 @@
         assertTrue(left <= Site.LONG_S * 1000 - 600, "left " + left);
     }
 
+    @Test
+    void oneThatAskedWhileTheLoopStoodStillIsNotTakenForSilent() throws Exception {
+        CountDownLatch standing = new CountDownLatch(1);
+        site.router.onRequest = (request, out) -> {
+            if (standing.getCount() > 0) {
+                standing.countDown();
+                LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(2400));
+            }
+            out.refuse(request.id(), 1);
+        };
+        try (Peer.Wire other = site.client()) {
+            // The connection is taken before the loop stands still, and its request comes while it does.
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(300));
+            client.write(site.get(Site.LONG_S));
+            assertTrue(standing.await(Peer.PATIENCE_S, TimeUnit.SECONDS));
+            other.write(site.get(Site.LONG_S));
+            assertEquals(503, Site.status(other.read()));
+        }
+    }
+
     @Test
     void anAnswerAfterTheFinalOneIsReportedAndGoesNowhere() throws Exception {
         site.router.onRequest = (request, out) -> {
