--- a/src/main/java/hopglade/lab/virtual/VirtualPolicy.java
+++ b/src/main/java/hopglade/lab/virtual/VirtualPolicy.java
@@ -189,7 +189,9 @@
             ledger.started(proxy);
             lives[proxy] = new Life(proxy, life);
             lives[proxy].start();
-            backSoon(proxy, agenda.now());
+            if (agenda.now() > 0) {
+                backSoon(proxy, agenda.now());
+            }
         }
     }
 
