Write local sockets, numeric addresses and the laboratory's majority once

Made one piece where two stood: - LocalSocket serves the members' and the policy's sockets; the policy's now also refuses a path at which another proxy listens, as the members' did. - NumericAddress serves gossip, policy and laboratory; a bad listen address of the policy is a plain message now, and was a null pointer. - The clock for MicroRaft is RaftLog's; callers give milliseconds. - PolicyLedger knows who stands for a proxy; both drivers computed it. - Exit codes and endings of a proposal are mapped in PolicySocket both ways. - Epochs enters an epoch in one place, LogFile writes in one, PeerLinks draws who is struck once, ProcessesTest starts proxies as LabTest does. Removed: a voter without a store, Budget.leaseLeftMs, PolicyMember.history, the twin of Epochs.find, unused results and fields. Wrong place: Governing took nodes out on the starting thread; it is done on the loop.

--- a/src/main/java/hopglade/epoch/Epochs.java
+++ b/src/main/java/hopglade/epoch/Epochs.java
@@ -43,12 +43,8 @@
             return prepare(p);
         }
         if (change instanceof Activate a && prepared != null && prepared.number() == a.epoch()) {
-            inForce = prepared.number();
-            past.add(prepared);
+            learn(prepared);
             prepared = null;
-            if (past.size() > KEPT) {
-                past.remove(0);
-            }
         }
         return new Outcome(inForce, null);
     }
@@ -70,7 +66,7 @@
         return new Outcome(prepared.number(), null);
     }
 
-    /** For a proxy that does not vote: an epoch that a voter has called in force. */
+    /** An epoch is in force; called from outside for a proxy that does not vote, once a voter has said so. */
     void learn(Epoch epoch) {
         inForce = epoch.number();
         past.add(epoch);
--- a/src/main/java/hopglade/epoch/PolicyMember.java
+++ b/src/main/java/hopglade/epoch/PolicyMember.java
@@ -28,14 +28,14 @@
 public final class PolicyMember {
 
     /** How often voters are asked; more often while a change is under way. */
-    public static final double ASK_MS = 250;
+    private static final double ASK_MS = 250;
     private static final double ASK_SOON_MS = 100;
     /** How long a grant lasts. */
-    public static final double LEASE_MS = 1000;
+    private static final double LEASE_MS = 1000;
     /** A voter counts as reachable for so long after its last answer. */
     private static final double HEARD_MS = 2000;
     /** How long a proposal is waited for. */
-    public static final double PATIENCE_MS = 10_000;
+    private static final double PATIENCE_MS = 10_000;
     private static final int FEW = 8;
     private static final int ASKED_KEPT = 16;
 
@@ -173,11 +173,6 @@
         return Map.copyOf(seen);
     }
 
-    /** The epochs that this proxy knows; of one that does not vote those that it was told. */
-    public List<Epoch> history() {
-        return epochs.history();
-    }
-
     /** The time until which a majority's grants hold. */
     private double currentUntil() {
         if (fenced > inForce || grantedUntil.size() < majority()) {
@@ -356,8 +351,8 @@
 
     private void take(double now, List<Epoch> next, Out out) {
         for (Epoch e : next) {
-            boolean snapshot = e == next.get(0) && inForce + 1 < e.number();
-            if (e.number() == inForce + 1 || snapshot && e.number() > inForce) {
+            // The first may be the oldest that is kept, as a snapshot; else each follows the one before.
+            if (e.number() == inForce + 1 || e == next.get(0) && e.number() > inForce) {
                 stop(now, out);
                 grantedUntil.clear();
                 if (log == null) {
--- a/src/main/java/hopglade/gossip/GossipSocket.java
+++ b/src/main/java/hopglade/gossip/GossipSocket.java
@@ -20,11 +20,8 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
-import io.netty.util.NetUtil;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.UnknownHostException;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Locale;
@@ -59,7 +56,7 @@
     private final long seed;
     private Gossip gossip;
     private Channel channel;
-    private MembersSocket members;
+    private LocalSocket members;
 
     private GossipSocket(EventLoop loop, DoubleSupplier clock, long seed, Options.Gossip options, KeyRing keys, Hooks hooks) {
         this.loop = loop;
@@ -84,7 +81,7 @@
     }
 
     private void bind() throws IOException, InterruptedException {
-        InetSocketAddress listen = address(options.listen());
+        InetSocketAddress listen = NumericAddress.parse(options.listen());
         if (listen == null) {
             throw new IOException("gossip.listen: " + options.listen() + " is no numeric address and port");
         }
@@ -97,7 +94,7 @@
             throw new IOException("cannot listen on " + options.listen() + " for gossip: " + bound.cause().getMessage());
         }
         channel = bound.channel();
-        String here = options.advertise().isEmpty() ? text(bound()) : options.advertise();
+        String here = options.advertise().isEmpty() ? NumericAddress.text(bound()) : options.advertise();
         gossip = new Gossip(new Gossip.Settings(here, options.seeds(), options.bytesPerS(), options.verificationsPerS(), options.healthMost()), keys, seed);
         if (!options.membersSocket().isEmpty()) {
             members = MembersSocket.open(Path.of(options.membersSocket()), loop, this::view);
@@ -125,7 +122,7 @@
 
     /** The same as text. */
     public String address() {
-        return text(bound());
+        return NumericAddress.text(bound());
     }
 
     /** Reads the keys again; what is wrong with them changes nothing. */
@@ -202,7 +199,7 @@
 
     @Override
     public void send(String to, byte[] packet) {
-        InetSocketAddress address = address(to);
+        InetSocketAddress address = NumericAddress.parse(to);
         if (address != null) {
             channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(packet), address));
         }
@@ -218,25 +215,10 @@
         hooks.event("gossip_" + what.name().toLowerCase(Locale.ROOT), "subject", subject, "evidence", evidence);
     }
 
-    private static InetSocketAddress address(String text) {
-        int colon = text.lastIndexOf(':');
-        byte[] bytes = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
-        try {
-            int port = bytes == null ? -1 : Integer.parseInt(text.substring(colon + 1));
-            return port < 0 || port > 0xffff ? null : new InetSocketAddress(InetAddress.getByAddress(bytes), port);
-        } catch (NumberFormatException | UnknownHostException e) {
-            return null;
-        }
-    }
-
-    private static String text(InetSocketAddress address) {
-        return NetUtil.toAddressString(address.getAddress()) + ":" + address.getPort();
-    }
-
     private final class Inbox extends SimpleChannelInboundHandler<DatagramPacket> {
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
-            gossip.received(clock.getAsDouble(), text(packet.sender()), ByteBufUtil.getBytes(packet.content()), GossipSocket.this);
+            gossip.received(clock.getAsDouble(), NumericAddress.text(packet.sender()), ByteBufUtil.getBytes(packet.content()), GossipSocket.this);
         }
 
         @Override
--- /dev/null
+++ b/src/main/java/hopglade/gossip/LocalSocket.java
@@ -0,0 +1,88 @@
+package hopglade.gossip;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerDomainSocketChannel;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.StandardProtocolFamily;
+import java.net.UnixDomainSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.util.function.Consumer;
+
+/** A Unix domain socket at which operators ask a running proxy; its file is its owner's alone. */
+public final class LocalSocket {
+
+    private static final int MOST_ANSWER = 1 << 21;
+
+    private final Path path;
+    private final Channel channel;
+
+    private LocalSocket(Path path, Channel channel) {
+        this.path = path;
+        this.channel = channel;
+    }
+
+    /** Listens; {@code pipes} sets up each connection. A file that nobody answers at is what an earlier process left. */
+    public static LocalSocket open(Path path, EventLoop loop, Consumer<Channel> pipes) throws IOException, InterruptedException {
+        if (Files.exists(path) && answers(path)) {
+            throw new IOException(path + ": another proxy listens there");
+        }
+        Files.deleteIfExists(path);
+        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerDomainSocketChannel.class)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel ch) {
+                        pipes.accept(ch);
+                    }
+                }).bind(UnixDomainSocketAddress.of(path)).await();
+        if (!bound.isSuccess()) {
+            throw new IOException("cannot listen on " + path + ": " + bound.cause().getMessage());
+        }
+        Files.setPosixFilePermissions(path, PosixFilePermissions.fromString("rw-------"));
+        return new LocalSocket(path, bound.channel());
+    }
+
+    private static boolean answers(Path path) {
+        try (SocketChannel socket = SocketChannel.open(StandardProtocolFamily.UNIX)) {
+            return socket.connect(UnixDomainSocketAddress.of(path));
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** Writes a question to the proxy behind a socket and reads until it closes. */
+    public static String ask(Path path, String question) throws IOException {
+        try (SocketChannel socket = SocketChannel.open(StandardProtocolFamily.UNIX)) {
+            socket.connect(UnixDomainSocketAddress.of(path));
+            ByteBuffer asked = ByteBuffer.wrap(question.getBytes(StandardCharsets.UTF_8));
+            while (asked.hasRemaining()) {
+                socket.write(asked);
+            }
+            ByteArrayOutputStream all = new ByteArrayOutputStream();
+            ByteBuffer part = ByteBuffer.allocate(4096);
+            while (socket.read(part) >= 0 && all.size() < MOST_ANSWER) {
+                all.write(part.array(), 0, part.position());
+                part.clear();
+            }
+            return all.toString(StandardCharsets.UTF_8);
+        }
+    }
+
+    public void close() {
+        channel.close();
+        try {
+            Files.deleteIfExists(path);
+        } catch (IOException e) {
+            // The next start takes the place of a socket that nobody answers at.
+        }
+    }
+}
--- a/src/main/java/hopglade/lab/faults/PeerLinks.java
+++ b/src/main/java/hopglade/lab/faults/PeerLinks.java
@@ -12,10 +12,10 @@
     private static final double LATE_MS = 400;
     private static final double[] LOST = {};
 
-    private final RandomGenerator random;
     /** Which of these proxies hear nothing of which, and until when. */
     private record Deaf(boolean[] to, boolean[] from, double until) { }
 
+    private final RandomGenerator random;
     private final int proxies;
     private final List<Deaf> deaf = new ArrayList<>();
     private final double[] cutUntil;
@@ -34,6 +34,7 @@
 
     /** Takes a fault in; returns whether it is one of these links. */
     public boolean begin(Fault fault) {
+        boolean[] struck = struck(fault);
         switch (fault.what()) {
             case GOSSIP_LOSS -> {
                 lossy = fault.share();
@@ -41,7 +42,6 @@
             }
             case GOSSIP_SPLIT -> splitUntil = fault.endMs();
             case GOSSIP_DEAF, GOSSIP_MUTE, GOSSIP_ONEWAY -> {
-                boolean[] struck = struck(fault);
                 boolean[] others = new boolean[proxies + 1];
                 for (int i = 0; i <= proxies; i++) {
                     others[i] = fault.what() == Fault.Kind.GOSSIP_ONEWAY ? fault.strikesPeer(i, proxies) : !struck[i];
@@ -55,7 +55,6 @@
                 return false;
             }
         }
-        boolean[] struck = struck(fault);
         for (int i = 0; i < proxies; i++) {
             if (fault.what() == Fault.Kind.GOSSIP_CUT && struck[i]) {
                 cutUntil[i] = fault.endMs();
--- a/src/main/java/hopglade/lab/ledger/PolicyLedger.java
+++ b/src/main/java/hopglade/lab/ledger/PolicyLedger.java
@@ -2,14 +2,17 @@
 
 import hopglade.epoch.Message;
 import hopglade.lab.Experiment;
+import hopglade.lab.faults.PeerLinks;
 import hopglade.lab.ledger.Rules.Rule;
 import hopglade.lab.ledger.Rules.Violation;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.stream.IntStream;
 
 /**
  * What proxies ran and when they counted themselves current, and what became of each proposal. Times are milliseconds of the run on one
@@ -51,6 +54,9 @@
     private final Span[] open;
     private final long[] running;
     private final boolean[] alive;
+    private final double[] stoppedUntil;
+    private final int voters;
+    private final PeerLinks links;
     private final Map<Long, String> contents = new TreeMap<>();
     private final Map<String, Proposal> proposals = new TreeMap<>();
     private final Map<Long, Map<Integer, Double>> appliedAt = new TreeMap<>();
@@ -59,14 +65,18 @@
     private final List<Violation> found = new ArrayList<>();
     private int fences;
 
-    public PolicyLedger(Experiment experiment) {
+    /** {@code links} are those between the proxies. */
+    public PolicyLedger(Experiment experiment, PeerLinks links) {
+        this.links = links;
         proxies = experiment.proxies().count();
+        voters = experiment.policy().voters();
+        stoppedUntil = new double[proxies];
         open = new Span[proxies];
         running = new long[proxies];
         alive = new boolean[proxies];
         backAt = new double[proxies];
-        java.util.Arrays.fill(alive, true);
-        java.util.Arrays.fill(backAt, Double.NaN);
+        Arrays.fill(alive, true);
+        Arrays.fill(backAt, Double.NaN);
     }
 
     public synchronized void ended(int proxy, double at) {
@@ -80,9 +90,16 @@
         alive[proxy] = true;
     }
 
-    /** From now on nothing keeps a proxy from a majority: it should be current soon. */
+    /** A process stands still until then. */
+    public synchronized void stopped(int proxy, double until) {
+        stoppedUntil[proxy] = until;
+    }
+
+    /** Something that may have kept a proxy from the others is over; if a majority of voters is there for it, it should be current soon. */
     public synchronized void back(int proxy, double at) {
-        if (alive[proxy] && open[proxy] == null) {
+        long there = IntStream.range(0, voters).filter(v -> alive[v] && at >= stoppedUntil[v] && !links.cut(v, proxy, at)
+                && !links.cut(proxy, v, at)).count();
+        if (alive[proxy] && open[proxy] == null && 2 * there > voters) {
             backAt[proxy] = at;
         }
     }
@@ -105,10 +122,10 @@
         if (known != null && !known.equals(content)) {
             broken(proxy, at, "runs other content as epoch " + epoch + " than another proxy");
         }
-        if (epoch > 1 && contents.keySet().stream().noneMatch(e -> e == epoch - 1)) {
+        if (epoch > 1 && !contents.containsKey(epoch - 1)) {
             broken(proxy, at, "runs epoch " + epoch + " and nobody ever ran " + (epoch - 1));
         }
-        if (epoch <= running[proxy] && appliedAt.containsKey(epoch) && appliedAt.get(epoch).containsKey(proxy) && epoch < running[proxy]) {
+        if (epoch < running[proxy] && appliedAt.getOrDefault(epoch, Map.of()).containsKey(proxy)) {
             broken(proxy, at, "went back from epoch " + running[proxy] + " to " + epoch);
         }
         close(proxy, at);
--- a/src/main/java/hopglade/lab/sockets/SocketPeers.java
+++ b/src/main/java/hopglade/lab/sockets/SocketPeers.java
@@ -5,6 +5,7 @@
 import hopglade.gossip.GossipSocket;
 import hopglade.gossip.KeyException;
 import hopglade.gossip.KeyFiles;
+import hopglade.gossip.NumericAddress;
 import hopglade.lab.Experiment;
 import hopglade.lab.faults.Fault;
 import hopglade.lab.faults.PeerLinks;
@@ -62,7 +63,7 @@
         long from = System.nanoTime();
         DoubleSupplier clock = () -> (System.nanoTime() - from) / NS_PER_MS;
         InetSocketAddress known = relay.address(experiment.proxies().count());
-        Options.Gossip options = new Options.Gossip(true, known.getAddress().getHostAddress() + ":0", text(known), seeds(experiment, relay),
+        Options.Gossip options = new Options.Gossip(true, known.getAddress().getHostAddress() + ":0", NumericAddress.text(known), seeds(experiment, relay),
                 directory.resolve(LIAR + ".key").toString(), directory.resolve("gossip.ring").toString(), experiment.gossip().bytesPerS(),
                 VERIFICATIONS_PER_S, "", Options.DEFAULTS.gossip().healthMost());
         GossipSocket socket;
@@ -88,11 +89,7 @@
     }
 
     private static List<String> seeds(Experiment experiment, PacketRelay relay) {
-        return IntStream.range(0, Math.min(PeerLinks.SEEDS, experiment.proxies().count())).mapToObj(i -> text(relay.address(i))).toList();
-    }
-
-    private static String text(InetSocketAddress address) {
-        return address.getAddress().getHostAddress() + ":" + address.getPort();
+        return IntStream.range(0, Math.min(PeerLinks.SEEDS, experiment.proxies().count())).mapToObj(i -> NumericAddress.text(relay.address(i))).toList();
     }
 
     /** Each proxy gossips at the address of its clients, by UDP, and is known to the others by the relay's. */
@@ -114,7 +111,7 @@
                     ring_file = "%s"
                     bytes_per_s = %d
                     health_most = %d
-                    """.formatted(text(addresses.get(i)), text(relay.address(i)), seeds, key, ring, experiment.gossip().bytesPerS(),
+                    """.formatted(NumericAddress.text(addresses.get(i)), NumericAddress.text(relay.address(i)), seeds, key, ring, experiment.gossip().bytesPerS(),
                     experiment.gossip().health() ? Options.DEFAULTS.gossip().healthMost() : 0) + policy.options(i));
         }
     }
--- a/src/main/java/hopglade/lab/sockets/SocketPolicy.java
+++ b/src/main/java/hopglade/lab/sockets/SocketPolicy.java
@@ -1,6 +1,7 @@
 package hopglade.lab.sockets;
 
 import hopglade.epoch.Message.Ending;
+import hopglade.gossip.NumericAddress;
 import hopglade.lab.Experiment;
 import hopglade.lab.faults.PeerLinks;
 import hopglade.lab.faults.PolicyText;
@@ -24,26 +25,19 @@
 
     private final Experiment experiment;
     private final RunClock clock;
-    private final PeerLinks links;
     private final Path directory;
     private final StreamRelay relay;
     private final PolicyLedger ledger;
     private final List<InetSocketAddress> voters = new ArrayList<>();
     private final AtomicInteger proposals = new AtomicInteger();
-    private final boolean[] running;
-    private final double[] stoppedUntil;
     private volatile int leader = -1;
 
     SocketPolicy(Experiment experiment, RunClock clock, PeerLinks links, Path directory, EventLoop loop) {
         this.experiment = experiment;
         this.clock = clock;
-        this.links = links;
         this.directory = directory;
         this.relay = new StreamRelay(loop, clock, links);
-        this.ledger = new PolicyLedger(experiment);
-        this.running = new boolean[experiment.proxies().count()];
-        this.stoppedUntil = new double[running.length];
-        java.util.Arrays.fill(running, true);
+        this.ledger = new PolicyLedger(experiment, links);
     }
 
     boolean on() {
@@ -77,9 +71,9 @@
         List<String> named = new ArrayList<>();
         for (int v = 0; v < voters.size(); v++) {
             InetSocketAddress at = v == proxy ? voters.get(v) : relay.address(proxy, v);
-            named.add("\"proxy-" + v + "=" + at.getAddress().getHostAddress() + ":" + at.getPort() + "\"");
+            named.add("\"proxy-" + v + "=" + NumericAddress.text(at) + "\"");
         }
-        String listen = proxy < voters.size() ? "listen = \"" + voters.get(proxy).getAddress().getHostAddress() + ":" + voters.get(proxy).getPort() + "\"\n" : "";
+        String listen = proxy < voters.size() ? "listen = \"" + NumericAddress.text(voters.get(proxy)) + "\"\n" : "";
         return "\n[policy]\nvoters = [" + String.join(", ", named) + "]\n" + listen + "socket = \"" + socket(proxy) + "\"\n";
     }
 
@@ -113,37 +107,27 @@
 
     void ended(int proxy) {
         if (on()) {
-            running[proxy] = false;
             ledger.ended(proxy, clock.now());
         }
     }
 
     void started(int proxy) {
         if (on()) {
-            running[proxy] = true;
             ledger.started(proxy);
         }
     }
 
     void stopped(int proxy, double until) {
-        stoppedUntil[proxy] = until;
+        ledger.stopped(proxy, until);
     }
 
-    /** From now on it should soon be current, if a majority of voters is there and nothing is cut. */
     void back(int proxy) {
-        double now = clock.now();
-        int there = 0;
-        for (int v = 0; v < voters.size(); v++) {
-            there += running[v] && now >= stoppedUntil[v] && !links.cut(v, proxy, now) && !links.cut(proxy, v, now) ? 1 : 0;
-        }
-        if (on() && running[proxy] && 2 * there > voters.size()) {
-            ledger.back(proxy, now);
-        }
+        ledger.back(proxy, clock.now());
     }
 
     /** A cut is over. */
     void healed() {
-        for (int i = 0; i < running.length; i++) {
+        for (int i = 0; i < experiment.proxies().count(); i++) {
             back(i);
         }
     }
@@ -154,13 +138,7 @@
         ledger.proposed(content, clock.now());
         try {
             PolicySocket.Told told = PolicySocket.ask(socket(proxy), "propose", content, 0);
-            Ending ending = switch (told.exit()) {
-                case 0 -> Ending.IN_FORCE;
-                case PolicySocket.NO_MAJORITY -> Ending.NO_MAJORITY;
-                case PolicySocket.UNKNOWN -> Ending.UNKNOWN;
-                default -> Ending.REFUSED;
-            };
-            ledger.answered(content, ending, clock.now());
+            ledger.answered(content, told.ending(), clock.now());
             return told.text();
         } catch (IOException e) {
             ledger.answered(content, Ending.UNKNOWN, clock.now());
--- a/src/main/java/hopglade/lab/sockets/SocketRun.java
+++ b/src/main/java/hopglade/lab/sockets/SocketRun.java
@@ -374,6 +374,11 @@
             agents(i -> hands.execute(() -> act.accept(i)));
         }
 
+        private void ended(int i) {
+            membership.ended(i, clock.now());
+            policy.ended(i);
+        }
+
         private void term(int i) {
             attempt(() -> {
                 proxies.get(i).signal("TERM");
@@ -385,8 +390,7 @@
                     ledger.excuse(new Ledger.Excuse(i, clock.now(), clock.now(), "SIGKILL"));
                 }
                 proxies.get(i).end();
-                membership.ended(i, clock.now());
-                policy.ended(i);
+                ended(i);
                 clients.inService(i, false);
                 startAgain(i);
                 return null;
@@ -401,8 +405,7 @@
             attempt(() -> {
                 ledger.excuse(new Ledger.Excuse(i, clock.now(), clock.now() + experiment.proxies().noticeS() * MS_PER_S, "SIGKILL"));
                 proxies.get(i).signal("KILL");
-                membership.ended(i, clock.now());
-                policy.ended(i);
+                ended(i);
                 hands.schedule(() -> clients.inService(i, false), (long) (experiment.proxies().noticeS() * MS_PER_S), TimeUnit.MILLISECONDS);
                 proxies.get(i).awaitExit(READY_MS);
                 startAgain(i);
--- a/src/main/java/hopglade/lab/sockets/StreamRelay.java
+++ b/src/main/java/hopglade/lab/sockets/StreamRelay.java
@@ -40,8 +40,8 @@
         this.links = links;
     }
 
-    /** Opens the way from one proxy to another, whose own address is given; returns where the first one connects. */
-    InetSocketAddress open(int from, int to, InetAddress at, InetSocketAddress own) throws IOException, InterruptedException {
+    /** Opens the way from one proxy to another, whose own address is given. */
+    void open(int from, int to, InetAddress at, InetSocketAddress own) throws IOException, InterruptedException {
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class).childOption(ChannelOption.AUTO_READ, false)
                 .childHandler(new ChannelInitializer<>() {
                     @Override
@@ -52,11 +52,10 @@
         if (!bound.isSuccess()) {
             throw new IOException("no socket to relay connections: " + bound.cause().getMessage());
         }
-        InetSocketAddress here = (InetSocketAddress) bound.channel().localAddress();
-        addresses.put((long) from << 32 | to, here);
-        return here;
+        addresses.put((long) from << 32 | to, (InetSocketAddress) bound.channel().localAddress());
     }
 
+    /** Where the first one connects to reach the other. */
     InetSocketAddress address(int from, int to) {
         return addresses.get((long) from << 32 | to);
     }
--- a/src/main/java/hopglade/lab/virtual/VirtualPolicy.java
+++ b/src/main/java/hopglade/lab/virtual/VirtualPolicy.java
@@ -15,14 +15,13 @@
 import hopglade.lab.world.Installation;
 import hopglade.raft.RaftLog;
 import io.microraft.executor.RaftNodeExecutor;
-import java.time.Clock;
-import java.time.Instant;
-import java.time.ZoneId;
-import java.time.ZoneOffset;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.stream.IntStream;
+import org.apache.commons.math3.random.RandomGenerator;
 
 /**
  * The proxies' policy in virtual time: each proxy's {@link PolicyMember}, a {@link RaftLog} where it votes, the links between them, and
@@ -44,7 +43,7 @@
         Life(int proxy, int life) {
             this.proxy = proxy;
             boolean votes = proxy < voters.size();
-            log = votes ? new RaftLog(new RaftLog.Parts(name(proxy), voters, epochs, this, clock, experiment.seed() * 31 + proxy * 7919L + life,
+            log = votes ? new RaftLog(new RaftLog.Parts(name(proxy), voters, epochs, this, agenda::now, experiment.seed() * 31 + proxy * 7919L + life,
                     disks[proxy], disks[proxy].restored()), (to, json) -> carry(proxy, index(to), l -> l.log.received(name(proxy), json)), this::committed) : null;
             member = new PolicyMember(name(proxy), voters, log, epochs, kept[proxy], agenda.now());
             if (kept[proxy] != null) {
@@ -129,33 +128,17 @@
     private final Installation plan;
     private final Agenda agenda;
     private final PeerLinks links;
-    private final java.util.function.Consumer<String> mark;
+    private final Consumer<String> mark;
     private final List<String> voters;
     private final Life[] lives;
     private final MemoryDisk[] disks;
     private final Epoch[] kept;
     private final double[] stoppedUntil;
     private final PolicyLedger ledger;
-    private final org.apache.commons.math3.random.RandomGenerator random;
+    private final RandomGenerator random;
     private int proposals;
-    private final Clock clock = new Clock() {
-        @Override
-        public ZoneId getZone() {
-            return ZoneOffset.UTC;
-        }
-
-        @Override
-        public Clock withZone(ZoneId zone) {
-            return this;
-        }
 
-        @Override
-        public Instant instant() {
-            return Instant.ofEpochMilli((long) agenda.now());
-        }
-    };
-
-    VirtualPolicy(Experiment experiment, Installation plan, Agenda agenda, PeerLinks links, java.util.function.Consumer<String> mark) {
+    VirtualPolicy(Experiment experiment, Installation plan, Agenda agenda, PeerLinks links, Consumer<String> mark) {
         this.experiment = experiment;
         this.plan = plan;
         this.agenda = agenda;
@@ -167,9 +150,9 @@
         disks = new MemoryDisk[count];
         kept = new Epoch[count];
         stoppedUntil = new double[count];
-        ledger = new PolicyLedger(experiment);
+        ledger = new PolicyLedger(experiment, links);
         random = Draw.generator(experiment.seed(), Draw.Stream.POLICY);
-        java.util.Arrays.setAll(disks, i -> new MemoryDisk());
+        Arrays.setAll(disks, i -> new MemoryDisk());
     }
 
     private static String name(int proxy) {
@@ -205,18 +188,12 @@
 
     void stop(int proxy, double until) {
         stoppedUntil[proxy] = until;
+        ledger.stopped(proxy, until);
         backSoon(proxy, until);
     }
 
-    /** From then on it should soon be current, if a majority of voters is there and nothing is cut. */
     private void backSoon(int proxy, double at) {
-        agenda.at(at, () -> {
-            long there = IntStream.range(0, voters.size()).filter(v -> lives[v] != null && !lives[v].over && agenda.now() >= stoppedUntil[v]
-                    && !links.cut(v, proxy, agenda.now()) && !links.cut(proxy, v, agenda.now())).count();
-            if (2 * there > voters.size() && lives[proxy] != null && !lives[proxy].over) {
-                ledger.back(proxy, agenda.now());
-            }
-        });
+        agenda.at(at, () -> ledger.back(proxy, agenda.now()));
     }
 
     /** A stream between two proxies: what is cut off is lost with its connection, and a lossy link is slow. */
--- a/src/main/java/hopglade/proxy/Governing.java
+++ b/src/main/java/hopglade/proxy/Governing.java
@@ -33,7 +33,7 @@
     static Governing open(EventLoop loop, Options own, long seed, Proxy proxy, Predicate<String> outByOperators, Consumer<Options> configure)
             throws IOException, InterruptedException {
         Governing governing = new Governing(proxy, outByOperators);
-        governing.want(own.nodes().out());
+        loop.submit(() -> governing.want(own.nodes().out())).sync();
         governing.service = PolicyService.open(loop, own, Path.of(System.getenv().getOrDefault("TMPDIR", System.getProperty("java.io.tmpdir"))), seed, new PolicyService.Hooks() {
             @Override
             public void apply(Options options) {
--- a/src/main/java/hopglade/raft/LogFile.java
+++ b/src/main/java/hopglade/raft/LogFile.java
@@ -137,9 +137,13 @@
     private void write(String kind, JsonObject o) throws IOException {
         o.addProperty("k", kind);
         String json = o.toString();
-        ByteBuffer line = ByteBuffer.wrap((checksum(json) + " " + json + "\n").getBytes(StandardCharsets.UTF_8));
-        while (line.hasRemaining()) {
-            channel.write(line);
+        write(channel, checksum(json) + " " + json + "\n");
+    }
+
+    private static void write(FileChannel to, String text) throws IOException {
+        ByteBuffer bytes = ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8));
+        while (bytes.hasRemaining()) {
+            to.write(bytes);
         }
     }
 
@@ -234,10 +238,7 @@
         Files.createDirectories(folder);
         Path fresh = folder.resolve("in-force.new");
         try (FileChannel opened = FileChannel.open(fresh, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE)) {
-            ByteBuffer bytes = ByteBuffer.wrap(Codec.epoch(epoch).toString().getBytes(StandardCharsets.UTF_8));
-            while (bytes.hasRemaining()) {
-                opened.write(bytes);
-            }
+            write(opened, Codec.epoch(epoch).toString());
             opened.force(true);
         }
         Files.move(fresh, folder.resolve("in-force"), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
--- a/src/main/java/hopglade/raft/PolicyService.java
+++ b/src/main/java/hopglade/raft/PolicyService.java
@@ -8,21 +8,16 @@
 import hopglade.epoch.Epochs.Epoch;
 import hopglade.epoch.Message;
 import hopglade.epoch.PolicyMember;
-import hopglade.epoch.PolicyMember.Answer;
 import hopglade.gossip.KeyException;
 import hopglade.gossip.KeyRing;
+import hopglade.gossip.LocalSocket;
+import hopglade.gossip.NumericAddress;
 import hopglade.membership.Identity;
 import io.microraft.executor.RaftNodeExecutor;
 import io.netty.channel.EventLoop;
-import io.netty.util.NetUtil;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
-import java.time.Clock;
-import java.time.Instant;
-import java.time.ZoneId;
-import java.time.ZoneOffset;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -58,10 +53,9 @@
     private final Map<String, InetSocketAddress> voters = new LinkedHashMap<>();
     private final Epochs epochs = new Epochs();
     private final Links links;
-    private LogFile file;
     private RaftLog log;
     private PolicyMember member;
-    private PolicySocket socket;
+    private LocalSocket socket;
     private boolean closed;
     private boolean toldBroken;
     private int toldTerm = -1;
@@ -96,9 +90,11 @@
     }
 
     private static InetSocketAddress address(String text) throws IOException {
-        int colon = text.lastIndexOf(':');
-        return new InetSocketAddress(InetAddress.getByAddress(NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon))),
-                Integer.parseInt(text.substring(colon + 1)));
+        InetSocketAddress address = NumericAddress.parse(text);
+        if (address == null) {
+            throw new IOException("policy: " + text + " is no numeric address and port");
+        }
+        return address;
     }
 
     /** Milliseconds of the machine's monotonic clock. */
@@ -108,15 +104,15 @@
 
     private void begin(long seed) throws IOException, InterruptedException {
         Epoch last = null;
+        LogFile file = null;
         try {
             last = LogFile.last(folder);
             file = voters.containsKey(identity.name()) ? LogFile.open(folder) : null;
         } catch (IOException e) {
             unusable(e);
         }
-        boolean votes = file != null;
-        if (votes) {
-            log = new RaftLog(new RaftLog.Parts(identity.name(), List.copyOf(voters.keySet()), epochs, new OnLoop(), MONOTONIC, seed, file, file.restored()),
+        if (file != null) {
+            log = new RaftLog(new RaftLog.Parts(identity.name(), List.copyOf(voters.keySet()), epochs, new OnLoop(), PolicyService::now, seed, file, file.restored()),
                     links::ask, this::committed);
             links.listen(address(own.policy().listen()));
         }
@@ -131,7 +127,7 @@
                 event(PolicyMember.What.APPLIED, first.number(), now());
             }
             links.start();
-            if (votes) {
+            if (log != null) {
                 log.start();
             }
             tick();
@@ -229,7 +225,7 @@
             case "history" -> then.accept(PolicySocket.answer(0, history()));
             case "propose" -> propose(asked.get("content").getAsString(), then);
             case "revert" -> {
-                Epoch old = member.history().stream().filter(e -> e.number() == asked.get("epoch").getAsLong()).findFirst().orElse(null);
+                Epoch old = epochs.find(asked.get("epoch").getAsLong());
                 if (old == null) {
                     then.accept(PolicySocket.answer(PolicySocket.REFUSED, "no epoch " + asked.get("epoch") + " is known here; nothing was changed"));
                 } else {
@@ -251,16 +247,7 @@
             then.accept(PolicySocket.answer(PolicySocket.REFUSED, "this voter's folder " + folder + " can't be used; nothing was changed"));
             return;
         }
-        member.propose(now(), content, this, a -> then.accept(PolicySocket.answer(code(a), a.text())));
-    }
-
-    private static int code(Answer answer) {
-        return switch (answer.ending()) {
-            case IN_FORCE -> 0;
-            case REFUSED -> PolicySocket.REFUSED;
-            case NO_MAJORITY -> PolicySocket.NO_MAJORITY;
-            case UNKNOWN -> PolicySocket.UNKNOWN;
-        };
+        member.propose(now(), content, this, a -> then.accept(PolicySocket.answer(PolicySocket.exit(a.ending()), a.text())));
     }
 
     private String status() {
@@ -279,7 +266,7 @@
 
     private String history() {
         List<String> lines = new ArrayList<>();
-        for (Epoch e : member.history()) {
+        for (Epoch e : epochs.history()) {
             lines.add("# epoch " + e.number() + ", proposal " + e.proposal() + (e.number() == member.inForce() ? ", in force" : ""));
             lines.add(e.content().stripTrailing());
         }
@@ -304,22 +291,4 @@
             }
         }
     }
-
-    /** For the library's timeouts: the machine's clock may be set, this one may not. */
-    private static final Clock MONOTONIC = new Clock() {
-        @Override
-        public ZoneId getZone() {
-            return ZoneOffset.UTC;
-        }
-
-        @Override
-        public Clock withZone(ZoneId zone) {
-            return this;
-        }
-
-        @Override
-        public Instant instant() {
-            return Instant.ofEpochMilli((long) now());
-        }
-    };
 }
--- a/src/main/java/hopglade/raft/RaftLog.java
+++ b/src/main/java/hopglade/raft/RaftLog.java
@@ -12,17 +12,20 @@
 import io.microraft.RaftNodeStatus;
 import io.microraft.executor.RaftNodeExecutor;
 import io.microraft.model.message.RaftMessage;
-import io.microraft.persistence.NopRaftStore;
 import io.microraft.persistence.RaftStore;
 import io.microraft.persistence.RestoredRaftState;
 import io.microraft.statemachine.StateMachine;
 import io.microraft.transport.Transport;
 import java.time.Clock;
+import java.time.Instant;
+import java.time.ZoneId;
+import java.time.ZoneOffset;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
 
 /**
  * A voter's copy of the log, kept by MicroRaft. It runs on the caller's executor and clock, and so in virtual time as well; all calls are
@@ -48,10 +51,34 @@
     private double confirmedAt = Double.NEGATIVE_INFINITY;
     private boolean confirming;
 
-    /** What a voter is made of; {@code store} and {@code restored} are null where nothing outlasts the process. */
-    public record Parts(String name, List<String> voters, Epochs epochs, RaftNodeExecutor executor, Clock clock, long seed, RaftStore store,
+    /** What a voter is made of; {@code nowMs} never runs back, {@code restored} is null where it has never run. */
+    public record Parts(String name, List<String> voters, Epochs epochs, RaftNodeExecutor executor, DoubleSupplier nowMs, long seed, RaftStore store,
                         RestoredRaftState restored) { }
 
+    /** For the library's timeouts: the machine's clock may be set, this one may not. */
+    private static final class Monotonic extends Clock {
+        private final DoubleSupplier nowMs;
+
+        Monotonic(DoubleSupplier nowMs) {
+            this.nowMs = nowMs;
+        }
+
+        @Override
+        public ZoneId getZone() {
+            return ZoneOffset.UTC;
+        }
+
+        @Override
+        public Clock withZone(ZoneId zone) {
+            return this;
+        }
+
+        @Override
+        public Instant instant() {
+            return Instant.ofEpochMilli((long) nowMs.getAsDouble());
+        }
+    }
+
     /**
      * @param send      takes what goes to another voter
      * @param committed runs after entries have been applied to the epochs
@@ -64,8 +91,8 @@
         RaftConfig config = RaftConfig.newBuilder().setLeaderHeartbeatPeriodSecs(HEARTBEAT_S).setLeaderHeartbeatTimeoutSecs(SILENT_S)
                 .setLeaderElectionTimeoutMillis(ELECTION_MS).setCommitCountToTakeSnapshot(MOST_ENTRIES).build();
         RaftNode.RaftNodeBuilder builder = RaftNode.newBuilder().setGroupId(Codec.GROUP).setConfig(config).setExecutor(parts.executor())
-                .setTransport(new Wires(send)).setStateMachine(new Machine()).setModelFactory(Codec.MODELS).setClock(parts.clock())
-                .setRandom(new Random(parts.seed())).setStore(parts.store() == null ? new NopRaftStore() : parts.store());
+                .setTransport(new Wires(send)).setStateMachine(new Machine()).setModelFactory(Codec.MODELS).setClock(new Monotonic(parts.nowMs()))
+                .setRandom(new Random(parts.seed())).setStore(parts.store());
         if (parts.restored() == null) {
             builder.setLocalEndpoint(self).setInitialGroupMembers(parts.voters().stream().map(v -> (RaftEndpoint) new Endpoint(v)).toList());
         } else {
--- a/src/main/java/hopglade/share/Budget.java
+++ b/src/main/java/hopglade/share/Budget.java
@@ -240,10 +240,4 @@
         forget(now);
         return held.values().stream().anyMatch(h -> h.amount() > 0);
     }
-
-    /** Milliseconds until the first of what it holds of others runs out; infinite without any. */
-    public double leaseLeftMs(double now) {
-        forget(now);
-        return held.values().stream().filter(h -> h.amount() > 0).mapToDouble(h -> h.until() - now).min().orElse(Double.POSITIVE_INFINITY);
-    }
 }
--- a/src/test/java/hopglade/lab/LabTest.java
+++ b/src/test/java/hopglade/lab/LabTest.java
@@ -28,7 +28,7 @@
 /** Short experiments from end to end on sockets, with real proxies as child processes. */
 class LabTest {
 
-    private static final String JAVA = Path.of(System.getProperty("java.home"), "bin", "java") + " -XX:TieredStopAtLevel=1 -XX:+UseSerialGC -Xmx96m -cp '"
+    static final String JAVA = Path.of(System.getProperty("java.home"), "bin", "java") + " -XX:TieredStopAtLevel=1 -XX:+UseSerialGC -Xmx96m -cp '"
             + System.getProperty("java.class.path") + "' ";
     /** Bounds of time are generous: this is about rules, and other tests may be running beside it. */
     private static final String SMALL = """
--- a/src/test/java/hopglade/lab/ProcessesTest.java
+++ b/src/test/java/hopglade/lab/ProcessesTest.java
@@ -15,8 +15,7 @@
 /** Five processes of the program with faults between them. Bounds are generous: other tests may be running beside these. */
 class ProcessesTest {
 
-    private static final String RUN = "exec " + Path.of(System.getProperty("java.home"), "bin", "java") + " -XX:TieredStopAtLevel=1 -XX:+UseSerialGC -Xmx96m -cp '"
-            + System.getProperty("java.class.path") + "' hopglade.Main serve";
+    private static final String RUN = "exec " + LabTest.JAVA + "hopglade.Main serve";
     private static final String FIVE = """
             name = "five"
             duration_s = %s
--- a/src/test/java/hopglade/lab/virtual/PolicyDaysTest.java
+++ b/src/test/java/hopglade/lab/virtual/PolicyDaysTest.java
@@ -6,8 +6,10 @@
 
 import hopglade.config.Toml;
 import hopglade.epoch.Message.Ending;
+import hopglade.lab.Draw;
 import hopglade.lab.Experiment;
 import hopglade.lab.ExperimentFile;
+import hopglade.lab.faults.PeerLinks;
 import hopglade.lab.ledger.PolicyLedger;
 import hopglade.lab.report.Results;
 import java.util.Locale;
@@ -114,7 +116,7 @@
     @Test
     void theLedgerNamesTwoThatAreCurrentAtOnceAndARefusalThatTookHold() throws Exception {
         Experiment experiment = ExperimentFile.of(Toml.parse("test.toml", FLEET.formatted(1, 10, 3)));
-        PolicyLedger ledger = new PolicyLedger(experiment);
+        PolicyLedger ledger = new PolicyLedger(experiment, new PeerLinks(experiment.proxies().count(), Draw.generator(1, Draw.Stream.GOSSIP)));
         ledger.proposed("x", 0);
         ledger.answered("x", Ending.NO_MAJORITY, 10);
         ledger.current(0, 0, 0);
--- a/src/test/java/hopglade/share/BudgetTest.java
+++ b/src/test/java/hopglade/share/BudgetTest.java
@@ -133,6 +133,12 @@
         assertTrue(town.most() <= town.budget, day + ": " + town.most() + " uses in a second, the budget is " + town.budget);
     }
 
+    private static void usesMost(Town town, double ms, String when) {
+        double from = town.now;
+        town.runFor(ms);
+        assertTrue(town.usedShare(from) >= 0.8, when + " used " + town.usedShare(from));
+    }
+
     private static Budget.Give asks(Budget lender, double now, long seq, int wants) {
         Budget.Message[] answer = new Budget.Message[1];
         lender.received(now, "y", new Budget.Ask(seq, wants), (to, m) -> answer[0] = m);
@@ -167,14 +173,10 @@
         // Three proxies want all of it; later three others.
         town.demand = i -> i < 3 ? 120 : 2;
         town.runFor(6000);
-        double from = town.now;
-        town.runFor(10_000);
-        assertTrue(town.usedShare(from) >= 0.8, "used " + town.usedShare(from));
+        usesMost(town, 10_000, "healthy");
         town.demand = i -> i >= 11 ? 120 : 2;
         town.runFor(6000);
-        from = town.now;
-        town.runFor(10_000);
-        assertTrue(town.usedShare(from) >= 0.8, "used " + town.usedShare(from));
+        usesMost(town, 10_000, "6 s after the demand moved");
         neverOver(town, "demand that moves");
     }
 
@@ -187,9 +189,7 @@
         town.runFor(60_000);
         town.cut = (a, b) -> false;
         town.runFor(2000);
-        double from = town.now;
-        town.runFor(8000);
-        assertTrue(town.usedShare(from) >= 0.8, "used 2 s after the heal: " + town.usedShare(from));
+        usesMost(town, 8000, "2 s after the heal");
         neverOver(town, "7 and 7");
     }
 
