Drop an unwritten request with its client, answer, node or window; read before reuse

Seen, each with the loop held or a connection that comes up late (a full backlog): - where the settings allow no cancel, a request whose client had left, or that had its final answer, was still written when its connection came up (Proxy.settle, NodePool.connect); - one whose node's drain was told meanwhile as well, up to the time for connecting later, which may be longer than the grace (NodePool.list closed only idle connections); and what waited there was ended before the router knew the list, so that it chose the same node again; - a repeat was held to its window when it was decided, and then waited for a connection as long as connecting may take: with a window of 120 ms it was written past it (Decide.mayRepeat knows only the moment of the decision); - an idle connection on which an end, half a status line or a second answer lay unread was written to: the request ended as a reset, or its answer was garbled (NodePool.newestIdle looked only at isActive); - an end and a connection that came up in the same turn: the request was written first.

An exchange now has a class of its own. Until its last byte is written it can be given up without a trace, and is: with the call's end, with the list, and at the end of its window, which travels with it. Before a connection is used again its socket is read once without waiting (NodeChannel). A new connection is written to behind all that came in its turn. Ends that nodes tell are events of their own, so a broken write can't be taken for one.

ClientTest's late answer is now one that was written before the final answer, as an unwritten attempt no longer goes out.

--- a/src/main/java/hopglade/proxy/ClientServer.java
+++ b/src/main/java/hopglade/proxy/ClientServer.java
@@ -577,7 +577,7 @@
         }
 
         @Override
-        public NodePool.Rest flows(HttpResponse head, NodePool.Exchange exchange) {
+        public Exchange.Rest flows(HttpResponse head, Exchange exchange) {
             HttpResponse answer = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
             passType(head, answer);
             long length = HttpUtil.getContentLength(head, -1L);
@@ -596,11 +596,11 @@
         }
 
         /** A long answer on its way to the client, no faster than the client reads it. */
-        private final class Flow implements NodePool.Rest {
-            private final NodePool.Exchange exchange;
+        private final class Flow implements Exchange.Rest {
+            private final Exchange exchange;
             private final boolean last;
 
-            Flow(NodePool.Exchange exchange, boolean last) {
+            Flow(Exchange exchange, boolean last) {
                 this.exchange = exchange;
                 this.last = last;
             }
--- /dev/null
+++ b/src/main/java/hopglade/proxy/NodeChannel.java
@@ -0,0 +1,21 @@
+package hopglade.proxy;
+
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+
+/** A socket to a node that can be asked whether anything has come on it that the loop has not read yet. */
+final class NodeChannel extends NioSocketChannel {
+
+    /**
+     * Whether neither bytes nor an end wait in the kernel. One byte is taken if there is one, so a connection that is not quiet is
+     * of no use any more.
+     */
+    boolean isQuiet() {
+        try {
+            return javaChannel().read(ByteBuffer.allocate(1)) == 0;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+}
--- a/src/main/java/hopglade/proxy/NodePool.java
+++ b/src/main/java/hopglade/proxy/NodePool.java
@@ -14,6 +14,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
@@ -75,25 +76,6 @@
     private static final double STALL_MOST_MS = 200;
     private static final byte[] START = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
 
-    /** Takes how an exchange ended; {@code response} is null where no whole answer came and is released afterwards. */
-    interface Done {
-        void ended(Exchange exchange, Outcome outcome, FullHttpResponse response);
-
-        /** A good answer that is too long to be gathered has begun; null where nobody takes its rest. */
-        default Rest began(Exchange exchange, HttpResponse head) {
-            return null;
-        }
-    }
-
-    /** Takes the rest of a long answer. */
-    interface Rest {
-        /** A part, which this owns. */
-        void part(HttpContent part);
-
-        /** It has come to its end, or will not. */
-        void ended(boolean whole);
-    }
-
     private final EventLoop loop;
     private final Bootstrap bootstrap;
     private final double idleMs;
@@ -137,33 +119,45 @@
         return Math.max(1, Math.min(STALL_MOST_MS, STALL_PART * aim));
     }
 
-    /** Takes in the list. Idle connections to a host that drains, left, moved or started anew are of no use. */
-    void list(HostList list) {
+    /**
+     * Takes in the list. Idle connections to a host that drains, left, moved or started anew are of no use, and what has not been
+     * written there is not to be any more. The latter ends when the result runs: whoever is told of it then has to know the list.
+     */
+    Runnable list(HostList list) {
+        List<Runnable> endings = new ArrayList<>();
         if (list.whole()) {
             Set<String> named = list.hosts().stream().map(h -> h.node().id()).collect(Collectors.toSet());
-            List.copyOf(targets.keySet()).stream().filter(id -> !named.contains(id)).forEach(this::forget);
+            List.copyOf(targets.keySet()).stream().filter(id -> !named.contains(id)).forEach(id -> forget(id, endings));
         }
         for (HostList.Host host : list.hosts()) {
             Target known = targets.get(host.node().id());
             if (host.node().availability() == Availability.GONE) {
-                forget(host.node().id());
+                forget(host.node().id(), endings);
             } else if (known == null || !known.dial.equals(host.dial()) || known.bornMs != host.node().startedAtMs()) {
-                forget(host.node().id());
+                forget(host.node().id(), endings);
                 targets.put(host.node().id(), new Target(host.dial(), host.node().startedAtMs()));
             } else if (host.node().availability() == Availability.DRAINING) {
                 closeIdle(known);
+                endings.add(() -> endUnwritten(known, Outcome.NEVER_SENT));
             }
         }
+        return () -> endings.forEach(Runnable::run);
     }
 
-    private void forget(String node) {
+    private void forget(String node, List<Runnable> endings) {
         Target target = targets.remove(node);
         if (target != null) {
             closeIdle(target);
             target.current = false;
-            for (Exchange e = target.nextWaiting(); e != null; e = target.nextWaiting()) {
-                e.end(Outcome.CONNECT_FAILED, null);
-            }
+            endings.add(() -> endUnwritten(target, Outcome.CONNECT_FAILED));
+        }
+    }
+
+    /** Ends what waits for a connection there, one that is coming up as well. */
+    private static void endUnwritten(Target target, Outcome outcome) {
+        List.copyOf(target.connecting).forEach(e -> e.abandon(outcome));
+        for (Exchange e = target.nextWaiting(); e != null; e = target.nextWaiting()) {
+            e.end(outcome, null);
         }
     }
 
@@ -172,10 +166,7 @@
         Target target = targets.get(node);
         if (target != null) {
             closeIdle(target);
-            List.copyOf(target.connecting).forEach(e -> e.abandon(Outcome.NEVER_SENT));
-            for (Exchange e = target.nextWaiting(); e != null; e = target.nextWaiting()) {
-                e.end(Outcome.NEVER_SENT, null);
-            }
+            endUnwritten(target, Outcome.NEVER_SENT);
         }
     }
 
@@ -206,14 +197,19 @@
      * Starts an exchange that is given up after {@code timeoutMs}. The request is made when a connection is there to
      * write it to, so that the budget it names is what is left then.
      */
-    Exchange send(String node, Supplier<FullHttpRequest> request, double timeoutMs, Done done) {
-        return send(node, request, null, timeoutMs, done);
+    Exchange send(String node, Supplier<FullHttpRequest> request, double timeoutMs, Exchange.Done done) {
+        return send(node, request, null, timeoutMs, Double.POSITIVE_INFINITY, done);
     }
 
-    /** As above, with a body that flows behind the request's head; null where the request is whole. */
-    Exchange send(String node, Supplier<? extends HttpRequest> request, Upload upload, double timeoutMs, Done done) {
-        Exchange exchange = new Exchange(request, upload, done);
-        exchange.timer = loop.schedule(exchange::timedOut, (long) (timeoutMs * 1e6), TimeUnit.NANOSECONDS);
+    /**
+     * As above, with a body that flows behind the request's head, null where the request is whole, and with its last byte written
+     * within {@code writeWithinMs} or never.
+     */
+    Exchange send(String node, Supplier<? extends HttpRequest> request, Upload upload, double timeoutMs, double writeWithinMs,
+                  Exchange.Done done) {
+        Exchange exchange = new Exchange(request, upload, done, loop, ages, nanos);
+        exchange.limit(timeoutMs);
+        exchange.writeWithin(writeWithinMs);
         Target target = targets.get(node);
         if (target == null) {
             exchange.end(Outcome.CONNECT_FAILED, null);
@@ -270,8 +266,10 @@
         for (Connection c = target.idle.pollFirst(); c != null; c = target.idle.pollFirst()) {
             if (c.idleMs(now) >= limit) {
                 c.context.close();
-            } else if (c.context.channel().isActive()) {
+            } else if (c.isQuiet()) {
                 return c;
+            } else {
+                c.context.close();
             }
         }
         return null;
@@ -324,18 +322,27 @@
             target.connections--;
         });
         connecting.addListener(f -> {
-            target.connecting.remove(exchange);
             if (!f.isSuccess()) {
+                target.connecting.remove(exchange);
                 connecting.channel().close();
                 exchange.end(Outcome.CONNECT_FAILED, null);
-            } else if (exchange.over) {
-                connecting.channel().close();
             } else {
-                connection.write(exchange);
+                // After all that has come in this turn of the loop was read, ends as well, which are told by a task of their own: for a
+                // client that left nothing is sent on.
+                loop.execute(() -> loop.execute(() -> connected(target, connection, exchange)));
             }
         });
     }
 
+    private static void connected(Target target, Connection connection, Exchange exchange) {
+        target.connecting.remove(exchange);
+        if (exchange.mayBeWritten()) {
+            connection.write(exchange);
+        } else {
+            connection.context.close();
+        }
+    }
+
     /** Makes room for a connection that is needed now; false if every one is busy. */
     private boolean closeOldestIdle() {
         Connection oldest = resting.peekFirst();
@@ -374,118 +381,13 @@
 
         Exchange nextWaiting() {
             Exchange next = waiting.pollFirst();
-            while (next != null && next.over) {
+            while (next != null && !next.mayBeWritten()) {
                 next = waiting.pollFirst();
             }
             return next;
         }
     }
 
-    /** One request to one node and its one outcome. */
-    final class Exchange {
-        private final Supplier<? extends HttpRequest> request;
-        private final Upload upload;
-        private final Done done;
-        /** Who takes the rest of a long answer; null where there is none, or none is left. */
-        private Rest rest;
-        private Channel channel;
-        private Future<?> timer;
-        private boolean written;
-        private boolean over;
-        /** How long its connection had been idle, 0 for a new one; and whether bytes of an answer have come. */
-        private double idleMs;
-        private boolean answering;
-
-        private Exchange(Supplier<? extends HttpRequest> request, Upload upload, Done done) {
-            this.request = request;
-            this.upload = upload;
-            this.done = done;
-        }
-
-        /** Gives it up. The connection goes too: its answer may still come and would be taken for another's. */
-        void cancel() {
-            abandon(Outcome.CANCELLED);
-            if (rest != null) {
-                rest = null;
-                channel.close();
-            }
-        }
-
-        /** Stops reading a long answer, or reads on. */
-        void pause(boolean pauses) {
-            if (rest != null) {
-                channel.config().setAutoRead(!pauses);
-            }
-        }
-
-        /** Gives it up after so long from now, as the time of a request whose body flows begins with its last byte. */
-        void limit(double timeoutMs) {
-            if (!over) {
-                timer.cancel(false);
-                timer = loop.schedule(this::timedOut, (long) (Math.max(0, timeoutMs) * 1e6), TimeUnit.NANOSECONDS);
-            }
-        }
-
-        private void begin(HttpResponse head) {
-            over = true;
-            timer.cancel(false);
-            ages.used(idleMs, false, nanos.getAsLong());
-            rest = done.began(this, head);
-        }
-
-        private void lastPart(HttpContent part) {
-            Rest taker = rest;
-            rest = null;
-            taker.part(part);
-            taker.ended(true);
-        }
-
-        /** The rest of a long answer will not come. */
-        private void cutShort() {
-            Rest taker = rest;
-            rest = null;
-            if (taker != null) {
-                taker.ended(false);
-            }
-        }
-
-        private void timedOut() {
-            // Before its last byte was written the node cannot have begun it.
-            abandon(written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED);
-        }
-
-        private void unconnected() {
-            if (channel == null) {
-                end(Outcome.CONNECT_FAILED, null);
-            }
-        }
-
-        private void broken() {
-            end(written ? Outcome.RESET : Outcome.CONNECT_FAILED, null);
-        }
-
-        private void abandon(Outcome outcome) {
-            if (!over) {
-                end(outcome, null);
-                if (channel != null) {
-                    channel.close();
-                }
-            }
-        }
-
-        private void end(Outcome outcome, FullHttpResponse response) {
-            if (!over) {
-                over = true;
-                timer.cancel(false);
-                boolean broke = outcome == Outcome.RESET || outcome == Outcome.CONNECT_FAILED;
-                if (outcome != Outcome.CANCELLED && outcome != Outcome.NEVER_SENT) {
-                    ages.used(idleMs, broke && !answering, nanos.getAsLong());
-                }
-                done.ended(this, outcome, response);
-            }
-        }
-    }
-
     /** Hands connections back whose rest is over; runs as long as some are left. */
     private void endRests() {
         long now = nanos.getAsLong();
@@ -518,6 +420,9 @@
         private long lastFlowed;
         /** Whether the long answer that flows on it leaves it open. */
         private boolean keeps;
+        /** Whether nothing but the connection's end ends the long answer; and whether the node has ended its half, no reset. */
+        private boolean endsByClose;
+        private boolean ended;
         private Future<?> stallTimer;
         private long idleSince;
         private boolean used;
@@ -542,7 +447,7 @@
             used = true;
             exchange.channel = context.channel();
             // The promise covers head and body: it fails if the connection breaks before the last byte is written.
-            context.writeAndFlush(exchange.request.get()).addListener(f -> {
+            context.writeAndFlush(exchange.request()).addListener(f -> {
                 if (!f.isSuccess()) {
                     context.close();
                     exchange.broken();
@@ -562,6 +467,11 @@
             }
         }
 
+        /** Whether nothing has come on it since its last answer: neither an end nor bytes that the next answer would begin with. */
+        boolean isQuiet() {
+            return context.channel().isActive() && (!(context.channel() instanceof NodeChannel node) || node.isQuiet());
+        }
+
         double idleMs(long now) {
             return Math.max(1, now - idleSince) / 1e6;
         }
@@ -600,6 +510,7 @@
             } else {
                 stopStallTimer();
                 keeps = HttpUtil.isKeepAlive(head);
+                endsByClose = !tellsLength(head);
                 current.begin(head);
                 if (current.rest == null) {
                     ctx.close();
@@ -612,6 +523,9 @@
             if (part.decoderResult().isFailure()) {
                 part.release();
                 fail(ctx, part.decoderResult().cause());
+            } else if (part instanceof LastHttpContent && endsByClose && !ended) {
+                part.release();
+                fail(ctx, null);
             } else if (part instanceof LastHttpContent) {
                 current = null;
                 release(exchange, keeps && ctx.channel().isActive());
@@ -637,8 +551,8 @@
                 fail(ctx, response.decoderResult().cause());
             } else if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
                 begun = 0;
-            } else if (!ctx.channel().isActive() && !saidToClose(response)) {
-                // Nothing but the end of the connection ended it, so nobody can tell whether it is whole.
+            } else if (!tellsLength(response) && !(ended && saidToClose(response))) {
+                // Nothing but the end of the connection ended it, so nobody can tell whether it is whole; a reset is no end.
                 current.broken();
             } else {
                 answer = response.retain();
@@ -715,7 +629,7 @@
         }
 
         private void rested() {
-            if (!context.channel().isActive() || !target.current) {
+            if (!isQuiet() || !target.current) {
                 context.close();
                 return;
             }
@@ -728,6 +642,14 @@
             watchIdle();
         }
 
+        @Override
+        public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+            if (event instanceof ChannelInputShutdownEvent) {
+                ctx.close();
+            }
+            ctx.fireUserEventTriggered(event);
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             target.idle.remove(this);
@@ -779,6 +701,12 @@
                     ctx.fireChannelRead(message);
                 }
             }
+
+            @Override
+            public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+                ended |= event instanceof ChannelInputShutdownEvent;
+                ctx.fireUserEventTriggered(event);
+            }
         }
     }
 
@@ -794,7 +722,11 @@
 
     /** Whether the end of an answer can be told from its being cut off, as far as a connection's end can tell it. */
     private static boolean tellsItsEnd(HttpResponse response) {
-        return HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response) || saidToClose(response);
+        return tellsLength(response) || saidToClose(response);
+    }
+
+    private static boolean tellsLength(HttpResponse response) {
+        return HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
     }
 
     /** Whether an answer that names no length said that its connection's end would be its own. */
--- a/src/main/java/hopglade/proxy/Proxy.java
+++ b/src/main/java/hopglade/proxy/Proxy.java
@@ -29,6 +29,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 
 /**
  * Joins the decision module to the sockets: every event becomes one call of the module, and what the module asks for
@@ -50,7 +51,7 @@
         void failed();
 
         /** A long answer begins; the request is over with it, and the client's side has what follows. */
-        NodePool.Rest flows(HttpResponse head, NodePool.Exchange exchange);
+        Exchange.Rest flows(HttpResponse head, Exchange exchange);
     }
 
     /** Who shares with other proxies what this one sees of the nodes; told of it on the event loop. */
@@ -103,6 +104,8 @@
     private final NodePool pool;
     private final int maxOpen;
     private final Map<String, Call> calls = new HashMap<>();
+    /** For how long each keyed class may be repeated. */
+    private final Map<String, Double> windows;
     private final Queue<Pending> events = new ArrayDeque<>();
     private final List<Runnable> actions = new ArrayList<>();
     private final Log log = new Log();
@@ -125,6 +128,8 @@
         this.maxOpen = maxOpen;
     }
 
+        this.windows = settings.classes().stream().filter(c -> c.effect() == Router.Effect.KEYED)
+                .collect(Collectors.toMap(Router.ServiceClass::name, Router.ServiceClass::repeatWindowMs, (a, b) -> b));
     /** Names what asks discovery and what tells peers; both need this proxy to be made first. */
     void wire(Runnable asksDiscovery, Consumer<byte[]> tellsPeers) {
         subscribe = asksDiscovery;
@@ -176,13 +181,14 @@
     void hosts(ListKind kind, HostList list) {
         list.nodes().stream().filter(n -> n.model() != null && n.model().equals(settings.originModel()))
                 .forEach(n -> origin = n.id());
-        pool.list(list);
+        Runnable endings = pool.list(list);
         if (watch != null) {
             watch.listed(kind, list.nodes().stream().filter(n -> !n.id().equals(origin)).toList());
         }
         tell(now -> router.nodes(now, kind, list.version(), list.nodes(), this), () -> { });
         listed.run();
     }
+        endings.run();
 
     /** The operators take a cache node out or put it back; false where the module has not taken that. */
     boolean maintain(String node, boolean begins) {
@@ -279,11 +285,11 @@
      * A long answer has begun: all that can be decided on the request has been, as it can't be made elsewhere any more. The
      * module is told that it was answered, after the time until its first bytes.
      */
-    private NodePool.Rest began(Call call, int attempt, String node, double sentAt, NodePool.Exchange exchange, HttpResponse head) {
+    private Exchange.Rest began(Call call, int attempt, String node, double sentAt, Exchange exchange, HttpResponse head) {
         call.out = null;
         call.last = Outcome.OK;
         count(node, Outcome.OK);
-        NodePool.Rest rest = null;
+        Exchange.Rest rest = null;
         if (!call.over) {
             tally.served++;
             settle(call);
@@ -473,6 +479,10 @@
         call.backstop.cancel(false);
         forgetIfDone(call);
     }
+        if (call.out != null) {
+            // Nobody waits for it any more: if it has not been written it never is.
+            call.out.dropUnlessWritten();
+        }
 
     private void forgetIfDone(Call call) {
         if (call.over && call.out == null) {
@@ -493,7 +503,7 @@
         double wait = timeoutMs == UNTIL_DEADLINE ? left : Math.min(timeoutMs, left);
         // Nothing goes out for a request that is over or late, past the attempts allowed, or beside another of its own.
         if (call == null || call.over || call.out != null || wait <= 0
-                || attempt >= settings.limits().maxAttempts() || call.isUsedUp()) {
+                || attempt >= settings.limits().maxAttempts() || call.isUsedUp() || repeatWithin(call, now) <= 0) {
             count(node, Outcome.NEVER_SENT);
             report(request, call, attempt, node, Outcome.NEVER_SENT, 0, 0);
             return;
@@ -506,15 +516,18 @@
         }
         Upload upload = call.payload.upload();
         // The time of a body that is still coming is its client's.
+        double writeWithin = repeatWithin(call, now);
+        call.firstSent = call.proven ? now : call.firstSent;
         double limit = upload == null ? wait : left;
-        out.exchange = pool.send(node, () -> call.toNode(upload == null ? giveUp - clock.now() : call.in.budgetMs()), upload, limit, new NodePool.Done() {
+        out.exchange = pool.send(node, () -> call.toNode(upload == null ? giveUp - clock.now() : call.in.budgetMs()), upload, limit, writeWithin,
+                new Exchange.Done() {
             @Override
-            public void ended(NodePool.Exchange exchange, Outcome outcome, FullHttpResponse response) {
+            public void ended(Exchange exchange, Outcome outcome, FullHttpResponse response) {
                 Proxy.this.ended(call, attempt, node, now, outcome, response);
             }
 
             @Override
-            public NodePool.Rest began(NodePool.Exchange exchange, HttpResponse head) {
+            public Exchange.Rest began(Exchange exchange, HttpResponse head) {
                 return Proxy.this.began(call, attempt, node, now, exchange, head);
             }
         });
@@ -522,6 +535,15 @@
 
     private static int note(HttpResponse response) {
         return switch (response == null ? "" : response.headers().get("X-Hit", "")) {
+    /**
+     * How long from now a further attempt may still be written: where an earlier one may have run, no longer than nodes know
+     * its key. The module minds that when it decides, but what it decides may wait for a connection.
+     */
+    private double repeatWithin(Call call, double now) {
+        double window = call.proven ? Double.POSITIVE_INFINITY : windows.getOrDefault(call.in.service(), Double.POSITIVE_INFINITY);
+        return call.firstSent + window - now;
+    }
+
             case "hit" -> 1;
             case "miss" -> 2;
             case "pending" -> 3;
@@ -543,7 +565,17 @@
 
     /** The attempt that is out; the pool may end it before it has handed the exchange over. */
     private static final class Attempt {
-        private NodePool.Exchange exchange;
+        private Exchange exchange;
+
+        boolean isWritten() {
+            return exchange != null && exchange.written;
+        }
+
+        void dropUnlessWritten() {
+            if (exchange != null) {
+                exchange.dropUnlessWritten();
+            }
+        }
 
         void cancel() {
             if (exchange != null) {
@@ -565,6 +597,8 @@
         int attempts;
         /** How its latest attempt ended; null before one has. */
         Outcome last;
+        /** When the first attempt was sent that may have run. */
+        double firstSent;
         boolean proven = true;
         boolean over;
 
--- a/src/main/java/hopglade/proxy/Transport.java
+++ b/src/main/java/hopglade/proxy/Transport.java
@@ -10,7 +10,6 @@
 import io.netty.channel.local.LocalChannel;
 import io.netty.channel.local.LocalServerChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.nio.channels.ServerSocketChannel;
 
 /** What connections are made of: sockets, or for the warm-up, which may open none, queues inside the process. */
@@ -24,7 +23,9 @@
 
         @Override
         Bootstrap client(EventLoop loop) {
-            return new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+            // An end that the other side tells is an event of its own, so that no other end is taken for it.
+            return new Bootstrap().group(loop).channelFactory(NodeChannel::new).option(ChannelOption.TCP_NODELAY, true)
+                    .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                     .option(ChannelOption.WRITE_BUFFER_WATER_MARK, UNWRITTEN).option(ChannelOption.RECVBUF_ALLOCATOR, reads());
         }
     },
--- a/src/test/java/hopglade/proxy/ClientTest.java
+++ b/src/test/java/hopglade/proxy/ClientTest.java
@@ -123,14 +123,20 @@
 
     @Test
     void anAnswerAfterTheFinalOneIsReportedAndGoesNowhere() throws Exception {
+        client.write(site.get(Site.LONG_S));
+        Peer.Wire node = site.node.next().wire();
+        // The final answers come while the attempt is out, from another request's turn.
         site.router.onRequest = (request, out) -> {
-            out.send(request.id(), "c0", 0);
-            out.fail(request.id());
+            out.fail("id0");
+            out.refuse("id0", 1);
             out.refuse(request.id(), 1);
         };
-        client.write(site.get(Site.LONG_S));
+        try (Peer.Wire other = site.client()) {
+            other.write(site.get(Site.LONG_S));
+            assertEquals(503, Site.status(other.read()));
+        }
         assertEquals(502, Site.status(client.read()));
-        site.node.next().wire().answer(200, "late");
+        node.answer(200, "late");
         var end = Scripted.next(site.router.ends);
         assertEquals(Outcome.OK, end.outcome());
         assertTrue(end.finished());
--- a/src/test/java/hopglade/proxy/WithPool.java
+++ b/src/test/java/hopglade/proxy/WithPool.java
@@ -45,7 +45,7 @@
 
     void list(Availability availability) throws Exception {
         Node named = new Node("c0", "std", "a", 0, 1, 0, availability);
-        loop.submit(() -> pool.list(new HostList(1, true, List.of(new HostList.Host(named, node.address()))))).get();
+        loop.submit(() -> pool.list(new HostList(1, true, List.of(new HostList.Host(named, node.address())))).run()).get();
     }
 
     void send() {
