End clients' connections in one way: our half first, then read and drop for a while

Requests that were read are answered before a last answer; a flood is refused in its turn, unsent, and read on.

--- a/src/main/java/hopglade/proxy/Proxy.java
+++ b/src/main/java/hopglade/proxy/Proxy.java
@@ -116,6 +116,8 @@
     /** Null where nothing is shared. */
     private Watch watch;
     private boolean telling;
+    /** Whether the last answers have been given, as the process ends. */
+    private boolean ending;
     private int owed;
     private String origin = "";
 
@@ -126,10 +128,10 @@
         this.router = router;
         this.pool = pool;
         this.maxOpen = maxOpen;
-    }
-
         this.windows = settings.classes().stream().filter(c -> c.effect() == Router.Effect.KEYED)
                 .collect(Collectors.toMap(Router.ServiceClass::name, Router.ServiceClass::repeatWindowMs, (a, b) -> b));
+    }
+
     /** Names what asks discovery and what tells peers; both need this proxy to be made first. */
     void wire(Runnable asksDiscovery, Consumer<byte[]> tellsPeers) {
         subscribe = asksDiscovery;
@@ -186,9 +188,9 @@
             watch.listed(kind, list.nodes().stream().filter(n -> !n.id().equals(origin)).toList());
         }
         tell(now -> router.nodes(now, kind, list.version(), list.nodes(), this), () -> { });
+        endings.run();
         listed.run();
     }
-        endings.run();
 
     /** The operators take a cache node out or put it back; false where the module has not taken that. */
     boolean maintain(String node, boolean begins) {
@@ -217,8 +219,8 @@
 
     void request(Request in, Payload payload, Client client) {
         tally.requests++;
-        if (calls.size() >= maxOpen) {
-            // Beyond what the settings allow the module is not asked; nothing ran, so this promise is true.
+        if (ending || calls.size() >= maxOpen) {
+            // Beyond what the settings allow, or after the last answers, the module is not asked; nothing ran, so this promise is true.
             tally.refused++;
             client.refused(0);
             return;
@@ -372,23 +374,23 @@
         }
     }
 
-    /** The process ends: whatever is open has its answer now, as one that never comes is a lost request. */
+    /** The process ends: whatever is open has its answer now, and what still comes is refused. */
     void answerAll() {
+        ending = true;
         for (Call call : List.copyOf(calls.values())) {
-            Attempt out = call.out;
             if (call.over) {
                 continue;
             }
-            if (call.proven && out == null) {
+            Attempt out = call.out;
+            if (call.proven && (out == null || !out.isWritten())) {
                 refuseNow(call, 0);
             } else {
                 failNow(call);
             }
             if (out != null) {
                 out.cancel();
-            } else {
-                tell(now -> router.clientGone(now, call.in.id(), this), () -> { });
             }
+            tell(now -> router.clientGone(now, call.in.id(), this), () -> { });
         }
     }
 
@@ -477,12 +479,12 @@
         }
         owed--;
         call.backstop.cancel(false);
-        forgetIfDone(call);
-    }
         if (call.out != null) {
             // Nobody waits for it any more: if it has not been written it never is.
             call.out.dropUnlessWritten();
         }
+        forgetIfDone(call);
+    }
 
     private void forgetIfDone(Call call) {
         if (call.over && call.out == null) {
@@ -514,10 +516,10 @@
         if (watch != null && !node.equals(origin)) {
             watch.sent(node);
         }
-        Upload upload = call.payload.upload();
-        // The time of a body that is still coming is its client's.
         double writeWithin = repeatWithin(call, now);
         call.firstSent = call.proven ? now : call.firstSent;
+        Upload upload = call.payload.upload();
+        // The time of a body that is still coming is its client's.
         double limit = upload == null ? wait : left;
         out.exchange = pool.send(node, () -> call.toNode(upload == null ? giveUp - clock.now() : call.in.budgetMs()), upload, limit, writeWithin,
                 new Exchange.Done() {
@@ -533,8 +535,6 @@
         });
     }
 
-    private static int note(HttpResponse response) {
-        return switch (response == null ? "" : response.headers().get("X-Hit", "")) {
     /**
      * How long from now a further attempt may still be written: where an earlier one may have run, no longer than nodes know
      * its key. The module minds that when it decides, but what it decides may wait for a connection.
@@ -544,6 +544,8 @@
         return call.firstSent + window - now;
     }
 
+    private static int note(HttpResponse response) {
+        return switch (response == null ? "" : response.headers().get("X-Hit", "")) {
             case "hit" -> 1;
             case "miss" -> 2;
             case "pending" -> 3;
@@ -595,10 +597,10 @@
         Future<?> backstop;
         Attempt out;
         int attempts;
-        /** How its latest attempt ended; null before one has. */
-        Outcome last;
         /** When the first attempt was sent that may have run. */
         double firstSent;
+        /** How its latest attempt ended; null before one has. */
+        Outcome last;
         boolean proven = true;
         boolean over;
 
--- a/src/main/java/hopglade/proxy/Service.java
+++ b/src/main/java/hopglade/proxy/Service.java
@@ -274,11 +274,12 @@
 
     /** Ends the service once nothing is owed, and returns then. */
     public void drain() {
-        beginDrain();
         double longest = config.settings().classes().stream().mapToDouble(ServiceClass::deadlineMs).max().orElse(0);
         longest = Math.min(LONGEST_MS, longest);
         loop.schedule(this::endDrain, (long) (KILL_MS + longest / 2), TimeUnit.MILLISECONDS);
-        loop.schedule(proxy::answerAll, (long) (KILL_MS + longest - LAST_ANSWER_MS), TimeUnit.MILLISECONDS);
+        loop.schedule(this::answerAll, (long) (KILL_MS + longest - LAST_ANSWER_MS), TimeUnit.MILLISECONDS);
+        // Last, as it ends the loop at once where nobody was ever let in.
+        beginDrain();
         try {
             ended.await();
         } catch (InterruptedException e) {
@@ -335,6 +336,12 @@
             }
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS).addListener(f -> ended.countDown());
         }
+    /** The process ends: whatever is open has its answer now, as one that never comes is a lost request. */
+    private void answerAll() {
+        clients.end();
+        proxy.answerAll();
+    }
+
     }
 
     /** Waits until the service has ended. */
