--- a/src/main/java/hopglade/proxy/ClientServer.java
+++ b/src/main/java/hopglade/proxy/ClientServer.java
@@ -11,14 +11,12 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -50,7 +48,6 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -74,14 +71,9 @@
      */
     private static final long READING_MS = 2600;
     private static final long LEAST_BYTES_PER_S = 48_000;
-    /** How long an answer may make no way at all to a client. */
-    private static final long UNREAD_MS = 5000;
     private static final long STALLED_MS = 10_000;
     /** How long one that was served is kept for its next request: some clients ask once and stay for good. */
     private static final long IDLE_MS = 4000;
-    /** How long, and for how many bytes, input is read on after an error: unread input would reset the error away. */
-    private static final long LINGER_MS = 1000;
-    private static final long LINGER_BYTES = 1 << 20;
     /**
      * Part of the connections that may be kept for a next request. Past it each answer is its connection's last and idle
      * ones go sooner: clients that ask once and stay would else use up the connections that clients may hold, and all
@@ -97,6 +89,7 @@
     private final int maxConnections;
     private final Map<String, ServiceClass> classes = new HashMap<>();
     private final Set<Connection> connections = new LinkedHashSet<>();
+    /** Null before clients are let in. */
     private Channel listener;
     private boolean ready;
     /** When the last sweep ran. */
@@ -116,14 +109,19 @@
         settings.classes().forEach(c -> classes.put(c.name(), c));
     }
 
+    /** On the loop; null where a drain has begun, after which nobody is let in any more. */
     ChannelFuture listen(Transport transport, SocketAddress address) {
-        return listens(serving(transport.server(loop)).bind(address));
+        return draining ? null : listens(serving(transport.server(loop)).bind(address));
     }
 
     /** Takes clients from a socket that listens already and that other processes take them from as well. */
     ChannelFuture listen(ServerSocketChannel passed) {
         shared = true;
-        return listens(serving(Transport.server(loop, passed)).register());
+        return draining ? null : listens(serving(Transport.server(loop, passed)).register());
+    }
+
+    boolean listens() {
+        return listener != null;
     }
 
     private ChannelFuture listens(ChannelFuture bound) {
@@ -204,34 +202,40 @@
     }
 
     private void accept(boolean accepts) {
-        listener.config().setAutoRead(accepts);
+        if (listens()) {
+            listener.config().setAutoRead(accepts);
+        }
     }
 
-    /** No new connections, and none is kept that has no request. */
+    /** No new connections, and none is kept that has no request. One that has begun to come is still read and served. */
     void stop() {
         stopped = true;
         if (shared) {
             accept(false);
-        } else {
+        } else if (listens()) {
             listener.close();
         }
-        List.copyOf(connections).forEach(Connection::closeIfIdle);
+        List.copyOf(connections).forEach(Connection::endIfIdle);
+    }
+
+    /** Nothing more is read: whose request has only begun to come is told to ask elsewhere. */
+    void end() {
+        List.copyOf(connections).forEach(Connection::endIfReading);
     }
 
     /**
      * Keeps below the descriptors that are ours. Of those that never had a good request a part may stay, so that a crowd
-     * that says nothing takes no usual client's place; then the one that has waited longest goes. If every one is busy
-     * the next clients wait in the listener's backlog until one has its answer: accepting past the limit would fail
-     * for all.
+     * that says nothing takes no usual client's place; then the one that has waited longest goes, at once, as it may never end
+     * its half. Else the idle one that was used longest ago is ended. If every one is busy the next clients wait in the
+     * listener's backlog until one has its answer: accepting past the limit would fail for all.
      */
     private void makeRoom() {
-        List<Connection> unproven = connections.stream().filter(c -> !c.proven && !c.busy()).toList();
+        List<Connection> unproven = connections.stream().filter(c -> !c.proven && c.hasNoAnswer()).toList();
         boolean crowded = connections.size() + 1 >= maxConnections;
         if (!unproven.isEmpty() && (crowded || unproven.size() >= Math.max(1, maxConnections / UNPROVEN_PART))) {
             unproven.stream().min(Comparator.comparingLong(c -> c.since)).ifPresent(c -> c.channel.close());
         } else if (crowded) {
-            Optional<Connection> idle = connections.stream().filter(c -> !c.busy()).findFirst();
-            idle.ifPresent(c -> c.channel.close());
+            connections.stream().filter(c -> c.phase == Phase.IDLE).findFirst().ifPresent(Connection::end);
         }
         if (crowded) {
             full = true;
@@ -276,6 +280,9 @@
         private final Channel channel;
         private final Bytes bytes = new Bytes();
         private final Queue<Waiting> waiting = new ArrayDeque<>();
+        private final HalfClose halfClose;
+        /** More came behind an open request than may wait: what waits is refused in its turn, and the rest dropped. */
+        private boolean flooded;
         private Phase phase = Phase.SILENT;
         private long since = System.nanoTime();
         private ChannelFuture written;
@@ -286,6 +293,8 @@
         private String open;
         private boolean keepAlive;
         private boolean speaksChunks;
+        /** Whether nothing but the end of the connection ends the answer. */
+        private boolean endsByClose;
         /** The body that is coming in parts, and that of the request that is open; null where there is none. */
         private Upload coming;
         private Upload upload;
@@ -297,6 +306,7 @@
 
         Connection(Channel channel) {
             this.channel = channel;
+            this.halfClose = new HalfClose(channel);
         }
 
         private void enter(Phase next) {
@@ -314,12 +324,30 @@
             return phase == Phase.BUSY || phase == Phase.FLOWING;
         }
 
-        void closeIfIdle() {
-            if (!busy() && phase != Phase.CLOSING) {
-                channel.close();
+        /** Whether it has neither a request open nor an answer on its way. */
+        boolean hasNoAnswer() {
+            return !busy() && halfClose.isWritten();
+        }
+
+        void endIfIdle() {
+            if (phase == Phase.SILENT || phase == Phase.IDLE) {
+                end();
             }
         }
 
+        void endIfReading() {
+            if (phase == Phase.READING) {
+                reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
+            }
+        }
+
+        /** The end of this connection, but for one that breaks. */
+        private void end() {
+            enter(Phase.CLOSING);
+            dropWaiting();
+            halfClose.begin(written);
+        }
+
         /** A client that sends no end, reads no answer or just stays would hold its descriptor for good. */
         void sweep(long now) {
             if (madeWay()) {
@@ -327,10 +355,9 @@
             }
             long ms = TimeUnit.NANOSECONDS.toMillis(now - since);
             switch (phase) {
-                case SILENT -> closeAfter(ms, SILENT_MS);
-                case IDLE -> closeAfter(ms, written != null && !written.isDone() ? UNREAD_MS
-                        : emptying() || crowded() ? CROWDED_IDLE_MS : IDLE_MS);
-                case CLOSING -> closeAfter(ms, written != null && !written.isDone() ? UNREAD_MS : LINGER_MS);
+                case SILENT -> endAfter(ms, SILENT_MS);
+                case IDLE -> endAfter(ms, emptying() || crowded() ? CROWDED_IDLE_MS : IDLE_MS);
+                case CLOSING -> halfClose.sweep(ms);
                 case READING -> {
                     if (tooSlow(ms)) {
                         reject(HttpResponseStatus.REQUEST_TIMEOUT);
@@ -343,7 +370,11 @@
                         giveUp(HttpResponseStatus.REQUEST_TIMEOUT);
                     }
                 }
-                case FLOWING -> closeAfter(ms, STALLED_MS);
+                case FLOWING -> {
+                    if (ms >= STALLED_MS) {
+                        channel.close();
+                    }
+                }
             }
         }
 
@@ -374,15 +405,15 @@
             }
         }
 
-        private void closeAfter(long ms, long limit) {
+        private void endAfter(long ms, long limit) {
             if (ms >= limit) {
-                channel.close();
+                end();
             }
         }
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
-            if (phase == Phase.CLOSING) {
+            if (phase == Phase.CLOSING || flooded) {
                 return;
             }
             if (part instanceof HttpRequest request) {
@@ -412,9 +443,10 @@
                 }
             } else {
                 waiting.add(request);
-                if (waiting.size() >= MAX_WAITING) {
-                    // What it sends further waits on its side of the connection.
-                    channel.config().setAutoRead(false);
+                // Reading has to go on all the same, or its leaving would not be seen.
+                flooded = waiting.size() >= MAX_WAITING;
+                if (flooded) {
+                    channel.config().setAutoRead(true);
                 }
             }
         }
@@ -521,10 +553,11 @@
             return upload != null && !upload.ended();
         }
 
-        /** Whether this answer is its connection's last; if so it says that. */
+        /** Whether this answer is its connection's last; if so it says that. What was read already is answered first. */
         private boolean lasts(HttpResponse answer) {
             // While clients wait to be accepted, a connection that is kept would keep one of them out.
-            boolean last = stopped || emptying() || draining && !kept || full || crowded() || !keepAlive || unread();
+            boolean ends = stopped || emptying() || draining && !kept || full || crowded();
+            boolean last = ends && waiting.isEmpty() || !keepAlive || unread();
             if (last) {
                 answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
@@ -534,14 +567,11 @@
         /** The answer has been handed over to be written. What is still coming of its request is read on and dropped. */
         private void ended(boolean last, ChannelFuture handedOver) {
             open = null;
-            enter(last ? Phase.CLOSING : Phase.IDLE);
             written = handedOver;
-            if (last && unread()) {
-                dropWaiting();
-                closeOurHalf();
-            } else if (last) {
-                written.addListener(ChannelFutureListener.CLOSE);
+            if (last) {
+                end();
             } else {
+                enter(Phase.IDLE);
                 // To the end of those that may be closed for room: it was the last to be used.
                 if (connections.remove(this)) {
                     connections.add(this);
@@ -550,30 +580,16 @@
             }
         }
 
-        /**
-         * Answers what makes no sense and closes. Only our half at first: closing on input that is still coming would
-         * reset the connection before the client has read why.
-         */
+        /** Answers what makes no sense, or comes too late, and ends the connection. */
         private void reject(HttpResponseStatus status) {
             FullHttpResponse answer = response(status, Unpooled.EMPTY_BUFFER);
             HttpUtil.setContentLength(answer, 0);
             answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            enter(Phase.CLOSING);
-            dropWaiting();
             if (upload != null) {
                 upload.drop();
             }
-            channel.config().setAutoRead(true);
             written = channel.writeAndFlush(answer);
-            closeOurHalf();
-        }
-
-        private void closeOurHalf() {
-            written.addListener(f -> {
-                if (channel instanceof DuplexChannel halves) {
-                    halves.shutdownOutput();
-                }
-            });
+            end();
         }
 
         @Override
@@ -587,6 +603,7 @@
                 HttpUtil.setTransferEncodingChunked(answer, true);
             } else {
                 keepAlive = false;
+                endsByClose = true;
             }
             open = null;
             flow = new Flow(exchange, lasts(answer));
@@ -617,6 +634,8 @@
                 flow = null;
                 if (whole) {
                     Connection.this.ended(last, written);
+                } else if (endsByClose) {
+                    halfClose.reset();
                 } else {
                     // The client can tell: neither the length nor the last chunk has come.
                     channel.close();
@@ -632,14 +651,28 @@
         }
 
         private void next() {
-            Waiting request = waiting.poll();
-            if (request == null) {
+            if (flooded) {
+                refuseWaiting();
                 return;
             }
-            if (request.upload() == null) {
-                channel.config().setAutoRead(true);
+            Waiting request = waiting.poll();
+            if (request != null) {
+                take(request);
             }
-            take(request);
+        }
+
+        /** None of them was sent on, so each may come again. */
+        private void refuseWaiting() {
+            for (Waiting each = waiting.poll(); each != null; each = waiting.poll()) {
+                each.drop();
+                keepAlive = !waiting.isEmpty();
+                upload = null;
+                FullHttpResponse answer = response(HttpResponseStatus.SERVICE_UNAVAILABLE, Unpooled.EMPTY_BUFFER);
+                HttpUtil.setContentLength(answer, 0);
+                lasts(answer);
+                written = channel.writeAndFlush(answer);
+            }
+            end();
         }
 
         private void dropWaiting() {
@@ -675,16 +708,10 @@
 
         /** Sees bytes before they are decoded: the clock for a request runs from its first. */
         private final class Bytes extends ChannelInboundHandlerAdapter {
-            private long dropped;
-
             @Override
             public void channelRead(ChannelHandlerContext ctx, Object message) {
-                if (phase == Phase.CLOSING) {
-                    dropped += message instanceof ByteBuf in ? in.readableBytes() : 0;
-                    ReferenceCountUtil.release(message);
-                    if (dropped > LINGER_BYTES) {
-                        channel.config().setAutoRead(false);
-                    }
+                if (phase == Phase.CLOSING || flooded) {
+                    halfClose.drop(message);
                     return;
                 }
                 if (phase == Phase.SILENT) {
