Open a silent watch anew before what it misses counts as told, and read indented lists

In their logs a silent watch is opened anew 7 s after its last byte (ReadTimeoutException), while what it misses counts as told after 6 s and the grace of some customers is 250 ms.

- SILENCE_S = 7 left no room: it is 4.5 s, two missed heartbeats and a little.
The old watch is heard until a new one has spoken; before, subscribe closed it first.
- A connect that succeeded and never got a word held everything up for those 7 s, and the backoff grew to 1 s while the agent was away.
Others are asked beside it every 150 ms now, four at most, and the first that speaks is the watch; the backoff ends at 150 ms.
The agent is on the proxy's machine.
- One alarm owns what comes next; before, each end had a timer that could open a watch.
- Lists were framed by line, so an indented one was dropped piece by piece.
JsonObjects frames by braces.
Netty's JsonObjectDecoder was weighed first: it passes over the heartbeats, takes what follows a broken object for its inside, and says nothing more after nonsense.
- A change that could not be read was lost for good, as the next good one moved the version on.
It is asked for again from the last that was understood.
- The version was taken over before the module had the list.
- SIGTERM between the opening of the clients' address and the registration of the hook ended the process over what it had taken.
The hook comes first now, and the address opens on the loop only where no end has come.

DiscoveryTest asks now that what a bad line should have said is asked for again.

--- a/src/main/java/hopglade/Main.java
+++ b/src/main/java/hopglade/Main.java
@@ -56,11 +56,19 @@
         CompletableFuture<Service> started = new CompletableFuture<>();
         Map<String, String> environment = System.getenv();
         Hangup.handle(() -> started.thenAccept(s -> s.reload(environment)));
+        // SIGTERM runs this hook; the process ends when the hook does, so it waits until nothing is owed. One that comes before
+        // clients can, finds nothing owed and forbids that they ever do.
+        CompletableFuture<Service> opening = new CompletableFuture<>();
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            if (!opening.cancel(false)) {
+                opening.join().drain();
+            }
+        }, "drain"));
         Service service = null;
         try {
             Options options = optionsFile == null ? Options.DEFAULTS : OptionsFile.read(Path.of(optionsFile));
             Log.configure(options.log());
-            service = Service.start(Config.fromEnvironment(environment), options);
+            service = Service.start(Config.fromEnvironment(environment), options, opening);
             if (optionsFile != null) {
                 service.options(() -> OptionsFile.read(Path.of(optionsFile)), options);
             }
@@ -74,10 +82,7 @@
             System.err.println("hopglade: --options needs the tools beside the program: start it by ./flintmill serve");
             System.exit(EXIT_FAILED);
         }
-        // SIGTERM runs this hook; the process ends when the hook does, so it waits until nothing is owed.
-        Service running = service;
-        started.complete(running);
-        Runtime.getRuntime().addShutdownHook(new Thread(running::drain, "drain"));
-        running.awaitEnd();
+        started.complete(service);
+        service.awaitEnd();
     }
 }
--- a/src/main/java/hopglade/proxy/Discovery.java
+++ b/src/main/java/hopglade/proxy/Discovery.java
@@ -3,7 +3,6 @@
 import com.google.gson.JsonParser;
 import hopglade.Router.ListKind;
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -12,8 +11,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.LineBasedFrameDecoder;
-import io.netty.handler.codec.MessageToMessageDecoder;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
@@ -23,42 +20,66 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.timeout.ReadTimeoutHandler;
+import io.netty.handler.codec.http.LastHttpContent;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.List;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
 /**
  * The watch on the list of hosts. Where lists are pushed it is kept up from the start; where discovery is asked, each
  * call of {@link #subscribe} is one try, and the module decides on the next.
+ *
+ * <p>One watch is the present one. Those that were opened to follow it are asked beside it, and the first that speaks takes
+ * its place: nobody stops listening to one that may still speak. One timer, {@link #alarm}, owns what happens next.
  */
 final class Discovery {
 
-    /** Three missed heartbeats: the other side has vanished without a word, and its news with it. */
-    private static final int SILENCE_S = 7;
-    private static final int MAX_LINE = 1 << 20;
+    /**
+     * How long a watch may say nothing, how soon another is opened beside one that has not said its first word, and the
+     * longest backoff after one that ended.
+     */
+    record Times(long silentMs, long firstWordMs, long backoffMostMs) {
+        /**
+         * A heartbeat comes every 2 s, and what a silent watch misses counts as told 6 s after its last: two missed, and the rest
+         * is for a new one. The agent that pushes is on this machine and answers at once, at no cost.
+         */
+        static final Times PUSHED = new Times(4500, 150, 150);
+        /** A service that is asked serves calls in turn, and gives them up after 2 s. */
+        static final Times ASKED = new Times(4500, 3000, 1000);
+    }
+
     private static final int CONNECT_TIMEOUT_MS = 1000;
     private static final long FIRST_BACKOFF_MS = 50;
-    private static final long LAST_BACKOFF_MS = 1000;
+    /** Watches that may be waited for at once; the oldest goes. */
+    private static final int MOST_ASKED = 4;
 
     private final EventLoop loop;
     private InetSocketAddress address;
     private final Proxy proxy;
     private final boolean pushed;
+    private final Times times;
     private final Runnable heard;
     private final Log log = new Log();
     private final ListChanges changes = new ListChanges();
+    private final Deque<Watch> asked = new ArrayDeque<>();
+    private Watch present;
+    private long heardAt;
     private long version;
+    /** Whether something that the present watch told could not be read; {@link #version} stands still from then on. */
+    private boolean missed;
     private long backoffMs = FIRST_BACKOFF_MS;
-    private Channel watch;
+    private Future<?> alarm;
 
-    /** {@code heard} runs at every sign of life. */
-    Discovery(EventLoop loop, InetSocketAddress address, Proxy proxy, HostList known, boolean pushed, Runnable heard) {
+    /** {@code heard} runs at every list and heartbeat. */
+    Discovery(EventLoop loop, InetSocketAddress address, Proxy proxy, HostList known, boolean pushed, Times times, Runnable heard) {
         this.loop = loop;
         this.address = address;
         this.proxy = proxy;
         this.pushed = pushed;
+        this.times = times;
         this.heard = heard;
         this.version = known == null ? 0 : known.version();
     }
@@ -80,104 +101,205 @@
         address = next;
         version = 0;
         backoffMs = FIRST_BACKOFF_MS;
+        if (present != null) {
+            present.close();
+            present = null;
+        }
+        closeAsked();
         subscribe();
     }
 
-    /** Opens the watch from the last version seen; an older watch of ours is dropped. */
+    /** Asks for a watch from the last version seen; the present one is heard until the new one has spoken. */
     void subscribe() {
-        Channel old = watch;
-        watch = null;
-        if (old != null) {
-            old.close();
-        }
-        ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-                .handler(new ChannelInitializer<>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new ReadTimeoutHandler(SILENCE_S), new HttpClientCodec(),
-                                new Body(), new LineBasedFrameDecoder(MAX_LINE), new Lines());
-                    }
-                }).connect(address);
-        Channel opened = connecting.channel();
-        watch = opened;
-        opened.closeFuture().addListener(f -> ended(opened));
-        connecting.addListener(f -> {
-            if (f.isSuccess()) {
-                var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-                        "/discovery/hosts?watch=1&from=" + version);
-                request.headers().set(HttpHeaderNames.HOST, "discovery.internal");
-                opened.writeAndFlush(request);
-            } else {
-                opened.close();
-            }
+        if (asked.size() >= MOST_ASKED) {
+            asked.removeFirst().close();
+        }
+        asked.addLast(new Watch());
+        alarm(times.firstWordMs, this::unanswered);
+    }
+
+    private void alarm(long ms, Runnable what) {
+        if (alarm != null) {
+            alarm.cancel(false);
+        }
+        alarm = loop.schedule(what, ms, TimeUnit.MILLISECONDS);
+    }
+
+    private void unanswered() {
+        if (pushed) {
+            subscribe();
+        } else {
+            closeAsked();
+            refused();
+        }
+    }
+
+    /** A watch has spoken: it is the present one from here on, and no other is waited for. */
+    private void spoke(Watch watch) {
+        heardAt = System.nanoTime();
+        backoffMs = FIRST_BACKOFF_MS;
+        if (watch == present && (asked.isEmpty() || missed)) {
+            return;
+        }
+        Watch before = watch == present ? null : present;
+        present = watch;
+        missed = false;
+        asked.remove(watch);
+        closeAsked();
+        if (before != null) {
+            before.close();
+        }
+        alarm(times.silentMs, this::listen);
+    }
+
+    private void closeAsked() {
+        List.copyOf(asked).forEach(w -> {
+            asked.remove(w);
+            w.close();
         });
     }
 
-    private void ended(Channel channel) {
-        if (watch != channel) {
+    /** Looks whether the present watch has fallen silent: then it is broken, as missed heartbeats are the only sign of that. */
+    private void listen() {
+        long quietMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - heardAt);
+        if (quietMs < times.silentMs) {
+            alarm(times.silentMs - quietMs, this::listen);
+            return;
+        }
+        log.odd("watch_silent", "version", version, "ms", quietMs);
+        if (pushed) {
+            subscribe();
+        } else {
+            refused();
+        }
+    }
+
+    /** A watch has ended; those that were given up before are of no interest any more. */
+    private void ended(Watch watch) {
+        if (watch == present) {
+            present = null;
+        } else if (!asked.remove(watch)) {
             return;
         }
-        watch = null;
         log.odd("watch_lost", "version", version);
+        if (!asked.isEmpty()) {
+            // Another is waited for already.
+            return;
+        }
         if (pushed) {
-            loop.schedule(() -> {
-                // A move has opened one meanwhile.
-                if (watch == null) {
-                    subscribe();
-                }
-            }, backoffMs, TimeUnit.MILLISECONDS);
-            backoffMs = Math.min(LAST_BACKOFF_MS, 2 * backoffMs);
+            alarm(backoffMs, this::subscribe);
+            backoffMs = Math.min(times.backoffMostMs, 2 * backoffMs);
         } else {
-            proxy.discoveryRefused();
+            refused();
         }
     }
 
-    private void line(String line) {
-        backoffMs = FIRST_BACKOFF_MS;
-        if (!line.isBlank()) {
+    private void refused() {
+        if (alarm != null) {
+            alarm.cancel(false);
+        }
+        proxy.discoveryRefused();
+    }
+
+    /** One connection to discovery. */
+    private final class Watch implements JsonObjects.Sink {
+        private final Channel channel;
+        private final JsonObjects objects = new JsonObjects(this);
+        /** What it was asked to go on from. */
+        private final long from = version;
+
+        Watch() {
+            ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                    .handler(new ChannelInitializer<>() {
+                        @Override
+                        protected void initChannel(Channel opened) {
+                            opened.pipeline().addLast(new HttpClientCodec(), new Body());
+                        }
+                    }).connect(address);
+            channel = connecting.channel();
+            channel.closeFuture().addListener(f -> ended(this));
+            connecting.addListener(f -> {
+                if (f.isSuccess()) {
+                    var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
+                            "/discovery/hosts?watch=1&from=" + from);
+                    request.headers().set(HttpHeaderNames.HOST, "discovery.internal");
+                    channel.writeAndFlush(request);
+                } else {
+                    channel.close();
+                }
+            });
+        }
+
+        void close() {
+            channel.close();
+        }
+
+        private boolean counts() {
+            return this == present || asked.contains(this);
+        }
+
+        @Override
+        public boolean object(String text, boolean behindSpoilt) {
+            if (!counts()) {
+                return true;
+            }
             try {
-                HostList list = HostList.parse(JsonParser.parseString(line).getAsJsonObject());
-                version = list.version();
-                changes.of(list).forEach(h -> Log.event("list", "version", version, "node", h.node().id(),
+                HostList list = HostList.parse(JsonParser.parseString(text).getAsJsonObject());
+                if (behindSpoilt) {
+                    spoilt();
+                }
+                changes.of(list).forEach(h -> Log.event("list", "version", list.version(), "node", h.node().id(),
                         "availability", h.node().availability(), "dial", h.dial()));
                 proxy.hosts(list.whole() ? ListKind.FULL : ListKind.CHANGES, list);
+                missed &= !list.whole();
+                version = missed ? version : list.version();
+                heard.run();
+                return true;
             } catch (RuntimeException e) {
-                log.odd("list_line_dropped", "cause", e.getMessage());
+                log.odd("list_dropped", "cause", e.getMessage());
+                return false;
             }
         }
-        heard.run();
-    }
-
-    /** Passes on what a good answer's body holds; any other answer ends the try. */
-    private static final class Body extends MessageToMessageDecoder<HttpObject> {
-        Body() {
-            super(HttpObject.class);
-        }
 
         @Override
-        protected void decode(ChannelHandlerContext ctx, HttpObject part, List<Object> out) {
-            boolean refused = part instanceof HttpResponse head && !head.status().equals(HttpResponseStatus.OK);
-            if (refused || part.decoderResult().isFailure()) {
-                ctx.close();
-            } else if (part instanceof HttpContent content) {
-                out.add(content.content().retain());
+        public void emptyLine() {
+            if (counts()) {
+                heard.run();
             }
         }
-    }
 
-    private final class Lines extends SimpleChannelInboundHandler<ByteBuf> {
+        /** What it should have said is asked for again, from the last that was understood. */
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf line) {
-            if (ctx.channel() == watch) {
-                line(line.toString(StandardCharsets.UTF_8));
+        public void spoilt() {
+            if (this == present && !missed) {
+                log.odd("list_spoilt", "version", version);
+                missed = true;
+                subscribe();
             }
         }
 
-        @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            log.odd("watch_broke", "cause", cause);
-            ctx.close();
+        /** Passes on what a good answer's body holds; any other answer ends the try. */
+        private final class Body extends SimpleChannelInboundHandler<HttpObject> {
+            @Override
+            protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
+                boolean bad = part instanceof HttpResponse head && !head.status().equals(HttpResponseStatus.OK);
+                if (bad || part.decoderResult().isFailure()) {
+                    ctx.close();
+                } else if (part instanceof HttpContent content && content.content().isReadable() && counts()) {
+                    spoke(Watch.this);
+                    objects.read(content.content());
+                }
+                if (part instanceof LastHttpContent) {
+                    ctx.close();
+                }
+            }
+
+            @Override
+            public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+                log.odd("watch_broke", "cause", cause);
+                ctx.close();
+            }
         }
     }
 }
--- a/src/main/java/hopglade/proxy/Service.java
+++ b/src/main/java/hopglade/proxy/Service.java
@@ -17,6 +17,7 @@
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -90,7 +91,7 @@
     private OptionsSource options = () -> Options.DEFAULTS;
     private int tallyS = Options.DEFAULTS.log().tallyS();
 
-    private Service(Config config, Router router) throws ConfigException {
+    private Service(Config config, Router router, Discovery.Times times) throws ConfigException {
         this.config = config;
         passed = config.passedSocket() == null ? null : PassedSocket.take(config.passedSocket());
         Settings settings = config.settings();
@@ -102,7 +103,7 @@
         proxy = new Proxy(loop, clock, settings, router, pool, config.maxOpen());
         clients = new ClientServer(loop, proxy, settings, clientSockets);
         discovery = new Discovery(loop, config.discovery(), proxy, config.known(), !settings.mustSubscribe(),
-                this::heard);
+                times, this::heard);
         peers = config.peerListen() == null ? null : new Peers(loop, config, proxy);
         proxy.wire(discovery::subscribe, peers == null ? contents -> { } : peers::tell);
     }
@@ -114,7 +115,7 @@
     public static void rehearse() throws IOException, InterruptedException, ConfigException {
         Hangup.handle(() -> { });
         Config config = Config.parse(REHEARSED, Map.of());
-        Service service = start(config, Options.DEFAULTS);
+        Service service = start(config, Options.DEFAULTS, new CompletableFuture<>());
         service.beginDrain();
         service.endDrain();
         service.awaitEnd();
@@ -145,36 +146,47 @@
         }, tallyS, TimeUnit.SECONDS);
     }
 
-    /** Starts a proxy with the project's decisions. */
-    public static Service start(Config config, Options options) throws IOException, InterruptedException, ConfigException {
-        return start(config, new Decide(config.settings(), config.seed()), options, true, UNTOLD_MS);
+    /**
+     * Starts a proxy with the project's decisions. {@code opening} is completed with it just before its clients' address opens; where
+     * that has been cancelled, as the process is to end already, none opens.
+     */
+    public static Service start(Config config, Options options, CompletableFuture<Service> opening)
+            throws IOException, InterruptedException, ConfigException {
+        return start(config, new Decide(config.settings(), config.seed()), options, new Manner(true, UNTOLD_MS, times(config), opening));
     }
 
     /** For tests: opens the clients' address after so long at the latest. */
-    static Service start(Config config, Router router, long untoldMs) throws IOException, InterruptedException, ConfigException {
-        return start(config, router, Options.DEFAULTS, false, untoldMs);
+    static Service start(Config config, Router router, long untoldMs, Discovery.Times times, CompletableFuture<Service> opening)
+            throws IOException, InterruptedException, ConfigException {
+        return start(config, router, Options.DEFAULTS, new Manner(false, untoldMs, times, opening));
     }
 
     static Service start(Config config, Router router) throws IOException, InterruptedException, ConfigException {
-        return start(config, router, Options.DEFAULTS, false, 0);
+        return start(config, router, 0, times(config), new CompletableFuture<>());
     }
 
-    private static Service start(Config config, Router router, Options options, boolean warm, long untoldMs)
+    private static Discovery.Times times(Config config) {
+        return config.settings().mustSubscribe() ? Discovery.Times.ASKED : Discovery.Times.PUSHED;
+    }
+
+    /** How a start goes: warmed up or not, how long it waits for discovery, its watch's times, and who may forbid its opening. */
+    private record Manner(boolean warm, long untoldMs, Discovery.Times times, CompletableFuture<Service> opening) { }
+
+    private static Service start(Config config, Router router, Options options, Manner manner)
             throws IOException, InterruptedException, ConfigException {
-        Service service = new Service(config, router);
+        Service service = new Service(config, router, manner.times);
         try {
             if (config.admin() != null) {
                 service.operations = new Operations(service.loop, service.proxy, service.clients, config.shared());
                 bound(service.operations.listen(config.admin()), config.admin());
             }
-            if (warm) {
+            if (manner.warm) {
                 Warmup.run(config.settings(), config.peerListen(), config.known(), config.replaces());
             }
             if (options.gossip().enabled()) {
                 service.join(options.gossip());
             }
-            service.open(untoldMs);
-            if (options.policy().enabled()) {
+            if (manner.opening.complete(service) && service.open(manner.untoldMs) && options.policy().enabled()) {
                 service.govern(options);
             }
         } catch (IOException | ConfigException e) {
@@ -199,7 +211,8 @@
         told.countDown();
     }
 
-    private void open(long untoldMs) throws IOException, InterruptedException {
+    /** Lets clients in; false where the process was told to end meanwhile, and none is let in. */
+    private boolean open(long untoldMs) throws IOException, InterruptedException {
         Log.event("known", "version", config.known() == null ? 0 : config.known().version(),
                 "hosts", config.known() == null ? 0 : config.known().hosts().size());
         if (peers != null) {
@@ -216,12 +229,22 @@
         if (!config.settings().mustSubscribe() && !told.await(untoldMs, TimeUnit.MILLISECONDS)) {
             Log.event("untold", "after_ms", untoldMs);
         }
-        ChannelFuture listens = passed == null ? clients.listen(Transport.TCP, config.listen()) : clients.listen(passed);
+        // On the loop, where a drain comes wholly before it or wholly after.
+        ChannelFuture listens = null;
+        try {
+            listens = loop.submit(() -> passed == null ? clients.listen(Transport.TCP, config.listen()) : clients.listen(passed)).sync().getNow();
+        } catch (RejectedExecutionException e) {
+            Log.event("not_opened", "cause", "the proxy has ended");
+        }
+        if (listens == null) {
+            return false;
+        }
         listening = (InetSocketAddress) bound(listens, config.listen()).channel().localAddress();
         long patience = config.settings().mustSubscribe() ? 0 : FIRST_NEWS_MS;
         loop.schedule(clients::ready, patience, TimeUnit.MILLISECONDS);
         tallyLater();
         loop.scheduleAtFixedRate(this::logState, STATE_S, STATE_S, TimeUnit.SECONDS);
+        return true;
     }
 
     private static ChannelFuture bound(ChannelFuture bound, InetSocketAddress address)
@@ -296,10 +319,13 @@
         if (sharing != null) {
             loop.execute(sharing::leave);
         }
-        loop.execute(clients::drain);
-        if (passed != null) {
-            loop.execute(this::endWhenEmpty);
-        }
+        loop.execute(() -> {
+            clients.drain();
+            told.countDown();
+            if (passed != null || !clients.listens()) {
+                endWhenEmpty();
+            }
+        });
     }
 
     /** Takes no more, and ends when all that was taken is answered. */
@@ -310,6 +336,12 @@
         });
     }
 
+    /** The process ends: whatever is open has its answer now, as one that never comes is a lost request. */
+    private void answerAll() {
+        clients.end();
+        proxy.answerAll();
+    }
+
     private void endWhenEmpty() {
         if (!ending) {
             ending = true;
@@ -336,12 +368,6 @@
             }
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS).addListener(f -> ended.countDown());
         }
-    /** The process ends: whatever is open has its answer now, as one that never comes is a lost request. */
-    private void answerAll() {
-        clients.end();
-        proxy.answerAll();
-    }
-
     }
 
     /** Waits until the service has ended. */
--- a/src/test/java/hopglade/proxy/DiscoveryTest.java
+++ b/src/test/java/hopglade/proxy/DiscoveryTest.java
@@ -46,7 +46,7 @@
     }
 
     @Test
-    void linesApplyAtOnceAndBadOnesAreDropped() throws Exception {
+    void linesApplyAtOnceAndBadOnesAreDroppedAndAskedForAgain() throws Exception {
         site.start("automatic", "60000", "");
         assertEquals(ListKind.REMEMBERED, Scripted.next(site.router.lists).kind());
         Peer.Wire watch = watch(7);
@@ -54,13 +54,19 @@
         line(watch, "");
         line(watch, "{\"seq\":8,\"whole\":false,\"hosts\":[{\"host\":\"c9\"}]}");
         line(watch, "not json");
+        // What they should have said is asked for again; the watch that there is goes on meanwhile.
+        Peer.Wire resumed = watch(7);
         line(watch, Site.list(9, false, Site.host("c1", "127.0.0.1:9", "draining", 5)));
         Scripted.Told told = Scripted.next(site.router.lists);
         assertEquals(ListKind.CHANGES, told.kind());
         assertEquals(9, told.version());
         assertEquals(Availability.DRAINING, told.entries().get(0).availability());
         assertEquals(5, told.entries().get(0).startedAtMs());
-        watch.close();
+        resumed.write(HEAD);
+        line(resumed, Site.list(9, false, Site.host("c1", "127.0.0.1:9", "draining", 5)));
+        assertEquals(9, Scripted.next(site.router.lists).version());
+        assertNull(site.discovery.next().text(), "the old one is closed once the new one has spoken");
+        resumed.close();
         Peer.Wire again = watch(9);
         again.write(HEAD);
         line(again, Site.list(12, true, Site.host("c1", "127.0.0.1:9", "up", 0)));
@@ -120,7 +126,7 @@
     void clientsAreLetInOnlyOnceDiscoveryHasSpoken() throws Exception {
         CompletableFuture<Void> starting = CompletableFuture.runAsync(() -> {
             try {
-                site.service = Service.start(site.config("automatic", "60000", ""), site.router, TimeUnit.SECONDS.toMillis(Peer.PATIENCE_S));
+                site.service = Service.start(site.config("automatic", "60000", ""), site.router, TimeUnit.SECONDS.toMillis(Peer.PATIENCE_S), Site.CALM, new CompletableFuture<>());
             } catch (Exception e) {
                 throw new IllegalStateException(e);
             }
@@ -135,7 +141,7 @@
 
     @Test
     void whereDiscoverySaysNothingClientsAreLetInAllTheSame() throws Exception {
-        site.service = Service.start(site.config("automatic", "60000", ""), site.router, 50);
+        site.service = Service.start(site.config("automatic", "60000", ""), site.router, 50, Site.CALM, new CompletableFuture<>());
         try (Peer.Wire client = site.client()) {
             client.write(site.get(Site.LONG_S));
             site.node.next().wire().answer(200, "v");
--- /dev/null
+++ b/src/test/java/hopglade/proxy/JsonObjectsTest.java
@@ -0,0 +1,94 @@
+package hopglade.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import com.google.gson.JsonSyntaxException;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A stream of objects is cut the same however it is laid out and in whatever pieces it comes. */
+class JsonObjectsTest {
+
+    private static final String INDENTED = "{\n  \"seq\": 1,\n  \"a\": [\n    {\n      \"t\": \"}{\\\"\\\\\"\n    },\n    {}\n  ]\n}\n";
+    private static final String FLUSH_LEFT = "{\n\"seq\": 1,\n\"a\": [\n{\n\"t\": \"}{\\\"\\\\\"\n},\n{}\n]\n}\n";
+    private static final String COMPACT = "{\"seq\":1,\"a\":[{\"t\":\"}{\\\"\\\\\"},{}]}\n";
+
+    private final List<String> told = new ArrayList<>();
+    private final JsonObjects objects = new JsonObjects(new JsonObjects.Sink() {
+        @Override
+        public boolean object(String text, boolean behindSpoilt) {
+            try {
+                JsonObject o = JsonParser.parseString(text).getAsJsonObject();
+                if (!o.has("seq")) {
+                    return false;
+                }
+                told.add((behindSpoilt ? "after spoilt " : "") + o.get("seq"));
+                return true;
+            } catch (JsonSyntaxException e) {
+                return false;
+            }
+        }
+
+        @Override
+        public void emptyLine() {
+            told.add("heartbeat");
+        }
+
+        @Override
+        public void spoilt() {
+            told.add("spoilt");
+        }
+    });
+
+    private List<String> read(String text, int piece) {
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        for (int at = 0; at < bytes.length; at += piece) {
+            objects.read(Unpooled.wrappedBuffer(bytes, at, Math.min(piece, bytes.length - at)));
+        }
+        return told;
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 7, 1000})
+    void everyLayoutIsRead(int piece) {
+        String all = COMPACT + "\n" + INDENTED + "\r\n" + FLUSH_LEFT + INDENTED.replace("\n", "\r\n") + "  \n" + INDENTED.replace("  ", "\t") + COMPACT;
+        assertEquals(List.of("1", "heartbeat", "1", "heartbeat", "1", "1", "heartbeat", "1", "1"), read(all, piece));
+    }
+
+    /** Nothing is waited for behind the last brace: the next line's end may be a heartbeat away. */
+    @Test
+    void anObjectIsToldWithItsLastBrace() {
+        assertEquals(List.of("1"), read("{\n \"seq\": 1\n}", 3));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"not json\n", "{\"seq\":1,\"a\":[{}\n\n", "{\"seq\":1,\"a\":\"b\n", "{\"a\":1}\n", "{\"seq\":]}\n", "]\n"})
+    void whatIsSpoiltIsToldAndCostsNothingBehindIt(String spoilt) {
+        read(spoilt, 1000);
+        assertEquals("spoilt", told.get(0));
+        told.clear();
+        assertEquals(List.of("2", "heartbeat"), read("{\"seq\":2}\n\n", 1000));
+    }
+
+    @Test
+    void anObjectThatBreaksOffDoesNotSwallowTheNext() {
+        assertEquals(List.of("after spoilt 2", "3"), read("{\"seq\":1,\"a\":[{\"b\":\n{\"seq\":2}\n" + "{\"seq\":3}\n", 5));
+        told.clear();
+        assertEquals(List.of("after spoilt 2", "3"), read("{\n \"seq\": 1,\n \"a\": [\n{\n \"seq\": 2\n}\n{\"seq\":3}\n", 5));
+    }
+
+    @Test
+    void anEndlessObjectIsGivenUp() {
+        read("{\"seq\":1,\"a\":\"" + "v".repeat(1 << 20), 100_000);
+        assertEquals("spoilt", told.get(0));
+        told.clear();
+        assertEquals(List.of("2"), read("\n{\"seq\":2}\n", 1000).stream().filter("2"::equals).toList());
+    }
+}
--- a/src/test/java/hopglade/proxy/Site.java
+++ b/src/test/java/hopglade/proxy/Site.java
@@ -3,6 +3,8 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
 /** A proxy with a scripted router, one scripted cache node c0 and a scripted discovery, on ephemeral ports. */
 final class Site implements Closeable {
@@ -15,12 +17,15 @@
              "services": [{"name": "read", "effect": "retryable", "deadline_ms": 1500},
                           {"name": "pay", "effect": "dedup", "deadline_ms": 1500}]}""";
     static final double LONG_S = 60;
+    /** Of a watch that waits for its first word as long as a test needs to give it. */
+    static final Discovery.Times CALM = new Discovery.Times(Discovery.Times.PUSHED.silentMs(), TimeUnit.SECONDS.toMillis(Peer.PATIENCE_S), 1000);
 
     final Peer node = new Peer();
     final Peer discovery = new Peer();
     final Scripted router = new Scripted();
     Service service;
     int sockets = 256;
+    Discovery.Times times = CALM;
     Map<String, String> environment = Map.of();
     /** The cache nodes that it knows. */
     String[] hosts;
@@ -37,7 +42,7 @@
     }
 
     void start(String mode, String idleMs, String more) throws Exception {
-        service = Service.start(config(mode, idleMs, more), router);
+        service = Service.start(config(mode, idleMs, more), router, 0, times, new CompletableFuture<>());
     }
 
     Config config(String mode, String idleMs, String more) throws ConfigException {
