Ask for a list anew at once where a watch that had worked breaks

Where lists are asked for, the module waited 1 to 3 s after a watch was found broken, then up to 12 s. What a silent watch misses counts as told 6 s after its last word; it is found after 4.5 s, a call takes up to 2 s, and the grace of some customers is 250 ms: 4.5 + 3 + 2 s was too late. The first call comes after 0.13 to 0.38 s now, the next after 0.5 to 1.5 s, then 2 to 6 and 4 to 12 s as before (Decide.nodes; the wait is four times longer with each failed call and not twice).

Test: RulesTest.aWatchThatBreaksIsAskedForAnewAtOnceAndThenMoreAndMoreSeldom, which the old wait fails.

--- a/src/main/java/hopglade/Decide.java
+++ b/src/main/java/hopglade/Decide.java
@@ -261,7 +261,7 @@
         if (kind == ListKind.REFUSED) {
             subscribed = false;
             refusedCalls++;
-            double wait = INTERVAL_MS * Math.min(8, 1 << Math.min(3, refusedCalls));
+            double wait = INTERVAL_MS * Math.min(8, Math.pow(4, refusedCalls - 2)); // the first soon: what is missed counts as told 6 s on
             out.timer(now + wait * (0.5 + random.nextDouble()), "subscribe");
             return;
         }
--- a/src/test/java/hopglade/RulesTest.java
+++ b/src/test/java/hopglade/RulesTest.java
@@ -171,6 +171,28 @@
         assertEquals(2, b.out.subscriptions);
     }
 
+    /** It was found silent 4.5 s after its last word, and what it misses counts as told 6 s after that. */
+    @Test
+    void aWatchThatBreaksIsAskedForAnewAtOnceAndThenMoreAndMoreSeldom() {
+        Bench b = new Bench(Bench.settings(true, true));
+        b.advance(1500);
+        b.change(Bench.node("c0", 0, Availability.UP));
+        b.router.nodes(b.now, ListKind.REFUSED, 1, List.of(), b.out);
+        b.advance(400);
+        assertEquals(2, b.out.subscriptions);
+        b.router.nodes(b.now, ListKind.REFUSED, 1, List.of(), b.out);
+        b.advance(400);
+        assertEquals(2, b.out.subscriptions, "all proxies ask one service");
+        b.advance(1200);
+        assertEquals(3, b.out.subscriptions);
+        b.router.nodes(b.now, ListKind.REFUSED, 1, List.of(), b.out);
+        b.advance(1900);
+        assertEquals(3, b.out.subscriptions);
+        b.change(Bench.node("c0", 0, Availability.UP));
+        b.advance(6000);
+        assertEquals(4, b.out.subscriptions);
+    }
+
     @Test
     void settingsWithoutClassesOrDeadlinesAreRefusedByName() {
         Settings good = Bench.settings(true, false);
