--- a/src/main/java/hopglade/proxy/Discovery.java
+++ b/src/main/java/hopglade/proxy/Discovery.java
@@ -101,9 +101,11 @@
         address = next;
         version = 0;
         backoffMs = FIRST_BACKOFF_MS;
-        if (present != null) {
-            present.close();
-            present = null;
+        missed = false;
+        Watch old = present;
+        present = null;
+        if (old != null) {
+            old.close();
         }
         closeAsked();
         subscribe();
