--- a/src/main/java/hopglade/Decide.java
+++ b/src/main/java/hopglade/Decide.java
@@ -150,9 +150,9 @@
     /** Keys told at once, as each message has a price of its own. */
     static final int KEYS_TOLD = 4;
     /**
-     * Sends to cache nodes, as a multiple of those answered, beyond which requests are turned away, and how steeply.
-     * Prevents collapse, where time-outs bring repeats that bring time-outs; failed connections do not count, nor do
-     * attempts that a client left young. Could harm where a few nodes alone answer nothing for long: all pay a little.
+     * Sends to cache nodes, as a multiple of those answered, beyond which requests are turned away, and how
+     * steeply. Prevents collapse, where time-outs bring repeats that bring time-outs; failed connections and
+     * attempts left young don't count. Could harm where a few nodes are long silent: all pay a little.
      */
     static final double PUSH = 1.1;
     static final double PUSH_POWER = 3;
@@ -262,7 +262,8 @@
         if (kind == ListKind.REFUSED) {
             subscribed = false;
             refusedCalls++;
-            double wait = INTERVAL_MS * Math.min(8, Math.pow(4, refusedCalls - 2)); // the first soon: what is missed counts as told 6 s on
+            // The first try comes soon: what a silent watch misses counts as told 6 s on.
+            double wait = INTERVAL_MS * Math.min(8, Math.pow(4, refusedCalls - 2));
             out.timer(now + wait * (0.5 + random.nextDouble()), "subscribe");
             return;
         }
