Let the warm-up's loop wait now and then: without, a crowded start is taken for one that hangs

The warm-up's loop finds work as long as it lasts: 1.4 s of a core without one wait. 110 processes that start together on eight cores, with other work beside them, give each a fourteenth of a core or less, so 20 s of real time and more.

All four of its clients rest for a millisecond after 40 requests, so the loop waits; they are few enough of those allowed that a rest does not end their connections.

Test: WarmupTest.itsLoopHasNothingToDoNowAndThen; without the rest there is none.

--- a/src/main/java/hopglade/proxy/Warmup.java
+++ b/src/main/java/hopglade/proxy/Warmup.java
@@ -60,7 +60,17 @@
      */
     private static final long AGAIN_MS = 700;
     private static final int AT_ONCE = 4;
+    /**
+     * After so many requests the loop has nothing to do for a moment. Where a hundred processes start on a few cores at once, a thread that
+     * works for one second of its own without a wait holds its core for a minute, and is taken for one that hangs.
+     */
+    private static final int REST_EVERY = 40;
+    private static final long REST_MS = 1;
+    /** How often one that has no answer is waited for. */
+    private static final int REST_MOST = 5;
     private static final int NODES = 4;
+    /** So many that all its clients may rest: where more than a part of those allowed do, each answer is its connection's last. */
+    private static final int MOST_CLIENTS = 8 * AT_ONCE;
     /** One of so many requests is a miss at its cache node. */
     private static final int MISS = 4;
     private static final double CONNECT_MS = 1000;
@@ -72,6 +82,9 @@
     private final long lastsMs;
     private long endsAt;
     private int sent;
+    /** Clients that ask again when the rest is over; null where there is none. */
+    private List<Runnable> resting;
+    private volatile int rests;
     private volatile int served;
     private volatile boolean over;
 
@@ -146,6 +159,38 @@
         return served;
     }
 
+    /** How often the loop had nothing at all to do, as all its clients waited. */
+    int rests() {
+        return rests;
+    }
+
+    /** Asks now, or when the rest is over that begins here or has begun. */
+    private void askInTurn(Runnable ask) {
+        if (resting == null && sent % REST_EVERY == 0 && sent > 0) {
+            resting = new ArrayList<>();
+            loop.schedule(() -> goOn(REST_MOST), REST_MS, TimeUnit.MILLISECONDS);
+        }
+        if (resting == null) {
+            ask.run();
+        } else {
+            resting.add(ask);
+        }
+    }
+
+    private void goOn(int left) {
+        List<Runnable> next = resting;
+        if (next.size() < AT_ONCE && left > 0) {
+            // Some have no answer yet.
+            loop.schedule(() -> goOn(left - 1), REST_MS, TimeUnit.MILLISECONDS);
+            return;
+        }
+        // Written by the loop alone.
+        int so = rests + (next.size() < AT_ONCE ? 0 : 1);
+        rests = so;
+        resting = null;
+        next.forEach(Runnable::run);
+    }
+
     /** How many were asked by now, once the loop has come to say so. */
     int asked() throws InterruptedException, ExecutionException {
         return loop.submit(() -> sent).get();
@@ -164,7 +209,7 @@
         NodePool pool = new NodePool(loop, Transport.IN_PROCESS, CONNECT_MS, settings.connections().idleMs(), NODES * AT_ONCE,
                 1);
         Proxy proxy = new Proxy(loop, new Clock(), settings, new Decide(settings, 0), pool, AT_ONCE + 1);
-        ClientServer clients = new ClientServer(loop, proxy, settings, 2 * AT_ONCE);
+        ClientServer clients = new ClientServer(loop, proxy, settings, MOST_CLIENTS);
         LocalAddress front = new LocalAddress(Warmup.class);
         List<HostList.Host> hosts = new ArrayList<>();
         for (int i = 0; i <= NODES; i++) {
@@ -247,11 +292,13 @@
             if (answer.status().equals(HttpResponseStatus.OK)) {
                 answered();
             }
-            if (sent < REQUESTS && !over && System.nanoTime() - endsAt < 0) {
-                ask(ctx);
-            } else {
-                done.countDown();
-            }
+            askInTurn(() -> {
+                if (sent < REQUESTS && !over && System.nanoTime() - endsAt < 0) {
+                    ask(ctx);
+                } else {
+                    done.countDown();
+                }
+            });
         }
 
         private void ask(ChannelHandlerContext ctx) {
--- a/src/test/java/hopglade/proxy/WarmupTest.java
+++ b/src/test/java/hopglade/proxy/WarmupTest.java
@@ -71,4 +71,17 @@
             warmup.end();
         }
     }
+
+    /** A loop that never waits is taken for one that hangs where many processes start on few cores. */
+    @Test
+    void itsLoopHasNothingToDoNowAndThen() throws Exception {
+        Warmup warmup = new Warmup(Warmup.anySettings(), TimeUnit.MINUTES.toMillis(1));
+        try {
+            warmup.start();
+            warmup.awaitDone();
+            assertTrue(warmup.rests() >= warmup.served() / 50, warmup.rests() + " rests in " + warmup.served() + " requests");
+        } finally {
+            warmup.end();
+        }
+    }
 }
