--- a/src/main/java/hopglade/proxy/ClientServer.java
+++ b/src/main/java/hopglade/proxy/ClientServer.java
@@ -540,11 +540,12 @@
         }
 
         private FullHttpResponse response(HttpResponseStatus status, ByteBuf body) {
-            return new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
+            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
+            HttpUtil.setContentLength(response, body.readableBytes());
+            return response;
         }
 
         private void answer(FullHttpResponse answer) {
-            HttpUtil.setContentLength(answer, answer.content().readableBytes());
             ended(lasts(answer), channel.writeAndFlush(answer));
         }
 
@@ -583,7 +584,6 @@
         /** Answers what makes no sense, or comes too late, and ends the connection. */
         private void reject(HttpResponseStatus status) {
             FullHttpResponse answer = response(status, Unpooled.EMPTY_BUFFER);
-            HttpUtil.setContentLength(answer, 0);
             answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             if (upload != null) {
                 upload.drop();
@@ -668,7 +668,6 @@
                 keepAlive = !waiting.isEmpty();
                 upload = null;
                 FullHttpResponse answer = response(HttpResponseStatus.SERVICE_UNAVAILABLE, Unpooled.EMPTY_BUFFER);
-                HttpUtil.setContentLength(answer, 0);
                 lasts(answer);
                 written = channel.writeAndFlush(answer);
             }
--- a/src/main/java/hopglade/proxy/Proxy.java
+++ b/src/main/java/hopglade/proxy/Proxy.java
@@ -503,9 +503,10 @@
         double now = clock.now();
         double left = call == null ? 0 : call.deadline - now;
         double wait = timeoutMs == UNTIL_DEADLINE ? left : Math.min(timeoutMs, left);
+        double writeWithin = call == null ? 0 : repeatWithin(call, now);
         // Nothing goes out for a request that is over or late, past the attempts allowed, or beside another of its own.
         if (call == null || call.over || call.out != null || wait <= 0
-                || attempt >= settings.limits().maxAttempts() || call.isUsedUp() || repeatWithin(call, now) <= 0) {
+                || attempt >= settings.limits().maxAttempts() || call.isUsedUp() || writeWithin <= 0) {
             count(node, Outcome.NEVER_SENT);
             report(request, call, attempt, node, Outcome.NEVER_SENT, 0, 0);
             return;
@@ -516,7 +517,6 @@
         if (watch != null && !node.equals(origin)) {
             watch.sent(node);
         }
-        double writeWithin = repeatWithin(call, now);
         call.firstSent = call.proven ? now : call.firstSent;
         Upload upload = call.payload.upload();
         // The time of a body that is still coming is its client's.
--- a/src/test/java/hopglade/proxy/Held.java
+++ b/src/test/java/hopglade/proxy/Held.java
@@ -9,6 +9,16 @@
     private final CountDownLatch entered = new CountDownLatch(1);
     private final CountDownLatch released = new CountDownLatch(1);
 
+    /** Holds the loop at the next request, which is refused when it goes on. */
+    static Held atNextRequest(Site site) {
+        Held held = new Held();
+        site.router.onRequest = (request, out) -> {
+            held.hold();
+            out.refuse(request.id(), 0);
+        };
+        return held;
+    }
+
     /** Called on the loop: stands still until {@link #release}. */
     void hold() {
         entered.countDown();
--- a/src/test/java/hopglade/proxy/StaleConnectionTest.java
+++ b/src/test/java/hopglade/proxy/StaleConnectionTest.java
@@ -55,11 +55,7 @@
     void anAnswerWithoutALengthEndsWithItsConnectionAndNotWithAReset(int length, boolean reset, Outcome outcome, int status) throws Exception {
         client.write(site.get(Site.LONG_S));
         Peer.Wire wire = site.node.next().wire();
-        Held held = new Held();
-        site.router.onRequest = (request, out) -> {
-            held.hold();
-            out.refuse(request.id(), 0);
-        };
+        Held held = Held.atNextRequest(site);
         try (Peer.Wire other = site.client()) {
             other.write(site.get(Site.LONG_S));
             held.entered();
--- a/src/test/java/hopglade/proxy/UnwrittenTest.java
+++ b/src/test/java/hopglade/proxy/UnwrittenTest.java
@@ -113,11 +113,7 @@
     void aClientsEndThatComesWithTheConnectionIsSeenFirst() throws Exception {
         client.write(site.get(Site.LONG_S));
         awaitRequest();
-        Held held = new Held();
-        site.router.onRequest = (request, out) -> {
-            held.hold();
-            out.refuse(request.id(), 0);
-        };
+        Held held = Held.atNextRequest(site);
         try (Peer.Wire other = site.client()) {
             other.write(site.get(Site.LONG_S));
             held.entered();
