Tell of each slow turn of the event loop, and which half of it was slow

Change: LoopWatch wraps the loop's I/O handler and times each turn by what the handler itself reports as work; slow_turn has input_ms, ready, tasks_ms and the requests that came since.

--- /dev/null
+++ b/src/main/java/hopglade/proxy/LoopWatch.java
@@ -0,0 +1,130 @@
+package hopglade.proxy;
+
+import io.netty.channel.IoHandle;
+import io.netty.channel.IoHandler;
+import io.netty.channel.IoHandlerContext;
+import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.IoRegistration;
+import io.netty.util.concurrent.ThreadAwareExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+/**
+ * Times each turn of an event loop: first what its connections brought is read, then its tasks and timers run. A slow one is told of
+ * with both times and how many connections were ready, as everything else waits for it. Costs three readings of the clock a turn.
+ */
+final class LoopWatch implements IoHandler {
+
+    /** Takes a slow turn, in milliseconds. */
+    interface Slow {
+        void turn(long inputMs, int ready, long tasksMs);
+    }
+
+    /** A client's patience is some hundreds of milliseconds, and 100 ms after it has left nothing may begin for it. */
+    static final long SLOW_MS = 100;
+
+    private final IoHandler handler;
+    private final LongSupplier nanos;
+    private final Slow slow;
+    private final Measured measured = new Measured();
+    private long inputNanos;
+    private int ready;
+    /** When the tasks of this turn began. */
+    private long tasksSince;
+    private boolean turned;
+
+    LoopWatch(IoHandler handler, LongSupplier nanos, Slow slow) {
+        this.handler = handler;
+        this.nanos = nanos;
+        this.slow = slow;
+    }
+
+    static IoHandlerFactory factory(IoHandlerFactory handlers, Slow slow) {
+        return new IoHandlerFactory() {
+            @Override
+            public IoHandler newHandler(ThreadAwareExecutor executor) {
+                return new LoopWatch(handlers.newHandler(executor), System::nanoTime, slow);
+            }
+        };
+    }
+
+    @Override
+    public int run(IoHandlerContext context) {
+        long began = nanos.getAsLong();
+        if (turned) {
+            long tasksNanos = began - tasksSince;
+            if (inputNanos + tasksNanos >= TimeUnit.MILLISECONDS.toNanos(SLOW_MS)) {
+                slow.turn(TimeUnit.NANOSECONDS.toMillis(inputNanos), ready, TimeUnit.NANOSECONDS.toMillis(tasksNanos));
+            }
+        }
+        inputNanos = 0;
+        measured.context = context;
+        ready = handler.run(measured);
+        turned = true;
+        tasksSince = nanos.getAsLong();
+        return ready;
+    }
+
+    @Override
+    public void initialize() {
+        handler.initialize();
+    }
+
+    @Override
+    public void prepareToDestroy() {
+        handler.prepareToDestroy();
+    }
+
+    @Override
+    public void destroy() {
+        handler.destroy();
+    }
+
+    @Override
+    public IoRegistration register(IoHandle handle) throws Exception {
+        return handler.register(handle);
+    }
+
+    @Override
+    public void wakeup() {
+        handler.wakeup();
+    }
+
+    @Override
+    public boolean isCompatible(Class<? extends IoHandle> type) {
+        return handler.isCompatible(type);
+    }
+
+    /** Has the handler say how long it worked, its wait not counted. */
+    private final class Measured implements IoHandlerContext {
+        private IoHandlerContext context;
+
+        @Override
+        public boolean canBlock() {
+            return context.canBlock();
+        }
+
+        @Override
+        public long delayNanos(long nowNanos) {
+            return context.delayNanos(nowNanos);
+        }
+
+        @Override
+        public long deadlineNanos() {
+            return context.deadlineNanos();
+        }
+
+        @Override
+        public boolean shouldReportActiveIoTime() {
+            return true;
+        }
+
+        @Override
+        public void reportActiveIoTime(long activeNanos) {
+            inputNanos += activeNanos;
+            if (context.shouldReportActiveIoTime()) {
+                context.reportActiveIoTime(activeNanos);
+            }
+        }
+    }
+}
--- a/src/main/java/hopglade/proxy/Service.java
+++ b/src/main/java/hopglade/proxy/Service.java
@@ -64,7 +64,9 @@
     private static final long STATE_S = 1;
     private static final long STALLED_MS = 500;
 
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final Log log = new Log();
+    private final MultiThreadIoEventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, LoopWatch.factory(NioIoHandler.newFactory(), this::slowTurn));
     private final CountDownLatch ended = new CountDownLatch(1);
     private final CountDownLatch told = new CountDownLatch(1);
     private final EventLoop loop = group.next();
@@ -85,6 +87,8 @@
     private String state = "";
     private double lastStateMs = Double.POSITIVE_INFINITY;
     private Duration lastCpu = Duration.ZERO;
+    /** Requests that had come when the last slow turn was told of. */
+    private int requestsBefore;
     /** Null where the platform passes none. */
     private final ServerSocketChannel passed;
     /** Null where there is no operators' address. */
@@ -391,6 +395,12 @@
         }
     }
 
+    private void slowTurn(long inputMs, int ready, long tasksMs) {
+        int requests = proxy.tally().requests;
+        log.odd("slow_turn", "input_ms", inputMs, "ready", ready, "tasks_ms", tasksMs, "requests", requests - requestsBefore);
+        requestsBefore = requests;
+    }
+
     private static String counts(int[] outcomes) {
         return Arrays.stream(Outcome.values()).filter(o -> outcomes[o.ordinal()] > 0)
                 .map(o -> o + "=" + outcomes[o.ordinal()]).collect(Collectors.joining(" "));
