Ask a client's own socket at the first byte of each attempt whether it has left

Cause: the loop reads a client's end only when it gets to it. What a turn does before that may send: a timer, an outcome that makes the module repeat, a connection that came up, a request that is decoded in one read while its end lies in the next, one taken from a pipeline. Behind an upload that waits reading is paused altogether (Upload's constructor), so that its end was not read at all. The double execute in NodePool.connect covered one of these by the loop's order. Weighed: deferring each write to the end of a turn needs the same guess for each path, and costs a turn.

Change: ClientChannel, a client's socket, is asked itself. hasLeft() reads without waiting; bytes before an end go into a bounded buffer (128 KiB a connection, 2 MiB a listener) that is handed on in its order. Exchange.mayBeWritten asks, through Done.isWanted, at the three places from which anything is written: send, a connection that came up, one that came free. A client that left is settled as clientGone, its attempt is NEVER_SENT. A node's connection that comes up is asked too, by isQuiet, so a reset that is there by then never counts as one of a request that was written.

Measured: ClientLeftTest (10), UnwrittenTest (5), ClosingTest (9), StreamingTest (11), FullTableTest (7), OutcomeTest (22) pass.

--- /dev/null
+++ b/src/main/java/hopglade/proxy/ClientChannel.java
@@ -0,0 +1,142 @@
+package hopglade.proxy;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.RecvByteBufAllocator;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.List;
+
+/**
+ * A client's socket that can be asked, at any moment and without the loop's next look, whether its client has left. What lies
+ * unread before an end is read ahead for that and handed on in its order when reading goes on; so much is held for one
+ * connection and for all of a listener. An end behind more than that is found when what is before it has been handed on.
+ */
+final class ClientChannel extends NioSocketChannel {
+
+    /** More than a system lets lie unread on a connection that nobody reads. */
+    static final int MOST_AHEAD = 128 * 1024;
+    private static final int MOST_AHEAD_IN_ALL = 2 * 1024 * 1024;
+    private static final int ONE_READ = 16 * 1024;
+
+    private final Listener listener;
+    /** What was read ahead and is not handed on yet; null where there is nothing. */
+    private ByteBuf ahead;
+    private boolean handingOn;
+    private boolean left;
+
+    private ClientChannel(Listener listener, SocketChannel socket) {
+        super(listener, socket);
+        this.listener = listener;
+    }
+
+    /** Whether the client has ended its half or reset the connection. Costs one read that does not wait. */
+    boolean hasLeft() {
+        while (!left && mayReadAhead()) {
+            int read = readAhead();
+            left = read < 0;
+            if (read == 0) {
+                break;
+            }
+        }
+        handOn();
+        return left;
+    }
+
+    private boolean mayReadAhead() {
+        return (ahead == null || ahead.readableBytes() < MOST_AHEAD) && listener.ahead < MOST_AHEAD_IN_ALL;
+    }
+
+    /** Bytes that were read, and below 0 at an end or where the connection broke. */
+    private int readAhead() {
+        ByteBuffer scratch = listener.scratch.clear();
+        try {
+            int read = javaChannel().read(scratch);
+            if (read > 0) {
+                ahead = ahead == null ? alloc().heapBuffer(read) : ahead;
+                ahead.writeBytes(scratch.flip());
+                listener.ahead += read;
+            }
+            return read;
+        } catch (IOException e) {
+            return -1;
+        }
+    }
+
+    /** Of what was read ahead the selector tells nothing. */
+    private void handOn() {
+        if (ahead != null && !handingOn && config().isAutoRead()) {
+            handingOn = true;
+            eventLoop().execute(() -> {
+                handingOn = false;
+                if (ahead != null && config().isAutoRead()) {
+                    unsafe().read();
+                }
+            });
+        }
+    }
+
+    @Override
+    protected void doBeginRead() throws Exception {
+        super.doBeginRead();
+        handOn();
+    }
+
+    @Override
+    protected int doReadBytes(ByteBuf into) throws Exception {
+        if (ahead == null) {
+            return super.doReadBytes(into);
+        }
+        RecvByteBufAllocator.Handle sizes = unsafe().recvBufAllocHandle();
+        int read = Math.min(into.writableBytes(), ahead.readableBytes());
+        sizes.attemptedBytesRead(read);
+        into.writeBytes(ahead, read);
+        listener.ahead -= read;
+        if (!ahead.isReadable()) {
+            dropAhead();
+        }
+        return read;
+    }
+
+    private void dropAhead() {
+        if (ahead != null) {
+            listener.ahead -= ahead.readableBytes();
+            ahead.release();
+            ahead = null;
+        }
+    }
+
+    @Override
+    protected void doClose() throws Exception {
+        left = true;
+        dropAhead();
+        super.doClose();
+    }
+
+    /** Takes clients in, all on one loop. */
+    static final class Listener extends NioServerSocketChannel {
+        private final ByteBuffer scratch = ByteBuffer.allocateDirect(ONE_READ);
+        /** Bytes read ahead on all of its connections. */
+        private int ahead;
+
+        Listener() { }
+
+        /** Over a socket that listens already. */
+        Listener(ServerSocketChannel passed) {
+            super(passed);
+        }
+
+        @Override
+        protected int doReadMessages(List<Object> accepted) throws Exception {
+            SocketChannel socket = javaChannel().accept();
+            if (socket == null) {
+                return 0;
+            }
+            accepted.add(new ClientChannel(this, socket));
+            return 1;
+        }
+    }
+}
--- a/src/main/java/hopglade/proxy/ClientServer.java
+++ b/src/main/java/hopglade/proxy/ClientServer.java
@@ -397,6 +397,17 @@
             reject(status);
         }
 
+        @Override
+        public boolean hasLeft() {
+            boolean left = !channel.isActive() || channel instanceof ClientChannel socket && socket.hasLeft();
+            if (left) {
+                // The id may be another's by the time at which the loop tells of the close.
+                open = null;
+                channel.close();
+            }
+            return left;
+        }
+
         private void leave() {
             if (open != null) {
                 String gone = open;
--- a/src/main/java/hopglade/proxy/Exchange.java
+++ b/src/main/java/hopglade/proxy/Exchange.java
@@ -22,6 +22,11 @@
     interface Done {
         void ended(Exchange exchange, Outcome outcome, FullHttpResponse response);
 
+        /** Whether somebody still waits for its answer; asked in the moment in which its first byte could be written. */
+        default boolean isWanted() {
+            return true;
+        }
+
         /** A good answer that is too long to be gathered has begun; null where nobody takes its rest. */
         default Rest began(Exchange exchange, HttpResponse head) {
             return null;
@@ -103,11 +108,14 @@
         }
     }
 
-    /** Whether it may still be written; one that may not ends here. */
+    /** Whether it may be written now, which asks its client's side; one that may not ends here. */
     boolean mayBeWritten() {
         if (writeTimer != null && nanos.getAsLong() - writeBy >= 0) {
             dropUnlessWritten();
         }
+        if (!over && !done.isWanted()) {
+            dropUnlessWritten();
+        }
         return !over;
     }
 
--- a/src/main/java/hopglade/proxy/NodePool.java
+++ b/src/main/java/hopglade/proxy/NodePool.java
@@ -215,6 +215,9 @@
             exchange.end(Outcome.CONNECT_FAILED, null);
             return exchange;
         }
+        if (!exchange.mayBeWritten()) {
+            return exchange;
+        }
         Connection idle = newestIdle(target);
         if (idle != null) {
             idle.write(exchange);
@@ -327,19 +330,18 @@
                 connecting.channel().close();
                 exchange.end(Outcome.CONNECT_FAILED, null);
             } else {
-                // After all that has come in this turn of the loop was read, ends as well, which are told by a task of their own: for a
-                // client that left nothing is sent on.
-                loop.execute(() -> loop.execute(() -> connected(target, connection, exchange)));
+                connected(target, connection, exchange);
             }
         });
     }
 
     private static void connected(Target target, Connection connection, Exchange exchange) {
         target.connecting.remove(exchange);
-        if (exchange.mayBeWritten()) {
+        if (exchange.mayBeWritten() && connection.isQuiet()) {
             connection.write(exchange);
         } else {
             connection.context.close();
+            exchange.broken();
         }
     }
 
--- a/src/main/java/hopglade/proxy/Proxy.java
+++ b/src/main/java/hopglade/proxy/Proxy.java
@@ -44,6 +44,9 @@
 
     /** The client's side of one request. */
     interface Client {
+        /** Whether it waits for no answer any more, as far as it has told up to now; if so its connection ends. */
+        boolean hasLeft();
+
         void served(FullHttpResponse response);
 
         void refused(double retryAfterMs);
@@ -254,10 +257,22 @@
     void clientGone(String id) {
         Call call = calls.get(id);
         if (call != null && !call.over) {
-            tally.gone++;
-            settle(call);
-            tell(now -> router.clientGone(now, id, this), () -> { });
+            gone(call);
+        }
+    }
+
+    private void gone(Call call) {
+        tally.gone++;
+        settle(call);
+        tell(now -> router.clientGone(now, call.in.id(), this), () -> { });
+    }
+
+    /** Asks the client's own side: that it has left may lie unread, as the loop is late or reading is held back. */
+    private boolean isWanted(Call call) {
+        if (!call.over && call.client.hasLeft()) {
+            gone(call);
         }
+        return !call.over;
     }
 
     private void ended(Call call, int attempt, String node, double sentAt, Outcome outcome, FullHttpResponse response) {
@@ -523,6 +538,11 @@
         double limit = upload == null ? wait : left;
         out.exchange = pool.send(node, () -> call.toNode(upload == null ? giveUp - clock.now() : call.in.budgetMs()), upload, limit, writeWithin,
                 new Exchange.Done() {
+            @Override
+            public boolean isWanted() {
+                return Proxy.this.isWanted(call);
+            }
+
             @Override
             public void ended(Exchange exchange, Outcome outcome, FullHttpResponse response) {
                 Proxy.this.ended(call, attempt, node, now, outcome, response);
--- a/src/main/java/hopglade/proxy/Transport.java
+++ b/src/main/java/hopglade/proxy/Transport.java
@@ -9,7 +9,6 @@
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.local.LocalChannel;
 import io.netty.channel.local.LocalServerChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.nio.channels.ServerSocketChannel;
 
 /** What connections are made of: sockets, or for the warm-up, which may open none, queues inside the process. */
@@ -17,7 +16,7 @@
     TCP {
         @Override
         ServerBootstrap server(EventLoop loop) {
-            return accepting(loop, NioServerSocketChannel::new)
+            return accepting(loop, ClientChannel.Listener::new)
                     .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true);
         }
 
@@ -56,10 +55,10 @@
 
     /** Takes connections from a socket that another has bound; it is registered as it is. */
     static ServerBootstrap server(EventLoop loop, ServerSocketChannel passed) {
-        return accepting(loop, () -> new NioServerSocketChannel(passed));
+        return accepting(loop, () -> new ClientChannel.Listener(passed));
     }
 
-    private static ServerBootstrap accepting(EventLoop loop, ChannelFactory<NioServerSocketChannel> listener) {
+    private static ServerBootstrap accepting(EventLoop loop, ChannelFactory<ClientChannel.Listener> listener) {
         return new ServerBootstrap().group(loop).channelFactory(listener).childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, UNWRITTEN)
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR, reads());
