Tell as well of a wait of the loop that ends after its first timer was due

Change: LoopWatch compares each wait with the time that the first timer left it; woke_late has the difference.

--- a/src/main/java/hopglade/proxy/LoopWatch.java
+++ b/src/main/java/hopglade/proxy/LoopWatch.java
@@ -11,13 +11,18 @@
 
 /**
  * Times each turn of an event loop: first what its connections brought is read, then its tasks and timers run. A slow one is told of
- * with both times and how many connections were ready, as everything else waits for it. Costs three readings of the clock a turn.
+ * with both times and how many connections were ready, as everything else waits for it. So is a wait that ends late, for which the
+ * loop did nothing: the machine had no core for it, or another thread held what it needed. Costs four readings of the clock a turn.
  */
 final class LoopWatch implements IoHandler {
 
-    /** Takes a slow turn, in milliseconds. */
+    /** Takes what kept the loop, in milliseconds. */
     interface Slow {
+        /** A turn that worked for so long. */
         void turn(long inputMs, int ready, long tasksMs);
+
+        /** A wait that ended so long after the first timer was due: the loop had nothing to do with that. */
+        void woke(long lateMs);
     }
 
     /** A client's patience is some hundreds of milliseconds, and 100 ms after it has left nothing may begin for it. */
@@ -59,9 +64,14 @@
         }
         inputNanos = 0;
         measured.context = context;
+        long due = context.canBlock() ? Math.max(0, context.delayNanos(began)) : 0;
         ready = handler.run(measured);
         turned = true;
         tasksSince = nanos.getAsLong();
+        long lateNanos = tasksSince - began - inputNanos - due;
+        if (lateNanos >= TimeUnit.MILLISECONDS.toNanos(SLOW_MS)) {
+            slow.woke(TimeUnit.NANOSECONDS.toMillis(lateNanos));
+        }
         return ready;
     }
 
--- a/src/main/java/hopglade/proxy/Service.java
+++ b/src/main/java/hopglade/proxy/Service.java
@@ -66,7 +66,7 @@
 
     private final Log log = new Log();
     private final MultiThreadIoEventLoopGroup group =
-            new MultiThreadIoEventLoopGroup(1, LoopWatch.factory(NioIoHandler.newFactory(), this::slowTurn));
+            new MultiThreadIoEventLoopGroup(1, LoopWatch.factory(NioIoHandler.newFactory(), new SlowTurns()));
     private final CountDownLatch ended = new CountDownLatch(1);
     private final CountDownLatch told = new CountDownLatch(1);
     private final EventLoop loop = group.next();
@@ -395,10 +395,19 @@
         }
     }
 
-    private void slowTurn(long inputMs, int ready, long tasksMs) {
-        int requests = proxy.tally().requests;
-        log.odd("slow_turn", "input_ms", inputMs, "ready", ready, "tasks_ms", tasksMs, "requests", requests - requestsBefore);
-        requestsBefore = requests;
+    /** Tells the log of what kept the loop. */
+    private final class SlowTurns implements LoopWatch.Slow {
+        @Override
+        public void turn(long inputMs, int ready, long tasksMs) {
+            int requests = proxy.tally().requests;
+            log.odd("slow_turn", "input_ms", inputMs, "ready", ready, "tasks_ms", tasksMs, "requests", requests - requestsBefore);
+            requestsBefore = requests;
+        }
+
+        @Override
+        public void woke(long lateMs) {
+            log.odd("woke_late", "ms", lateMs);
+        }
     }
 
     private static String counts(int[] outcomes) {
--- a/src/test/java/hopglade/proxy/LoopWatchTest.java
+++ b/src/test/java/hopglade/proxy/LoopWatchTest.java
@@ -26,10 +26,11 @@
     private final class Reading implements IoHandler {
         private long waitMs;
         private long workMs;
+        private long oversleptMs;
 
         @Override
         public int run(IoHandlerContext context) {
-            nowNanos += ms(waitMs + workMs);
+            nowNanos += ms(waitMs + oversleptMs + workMs);
             if (context.shouldReportActiveIoTime()) {
                 context.reportActiveIoTime(ms(workMs));
             }
@@ -50,15 +51,30 @@
         }
     }
 
-    private static final IoHandlerContext CONTEXT = new IoHandlerContext() {
+    private final Reading reading = new Reading();
+    private final List<String> told = new ArrayList<>();
+    private final LoopWatch watch = new LoopWatch(reading, () -> nowNanos, new LoopWatch.Slow() {
+        @Override
+        public void turn(long inputMs, int ready, long tasksMs) {
+            told.add(inputMs + " " + ready + " " + tasksMs);
+        }
+
+        @Override
+        public void woke(long lateMs) {
+            told.add("woke " + lateMs);
+        }
+    });
+
+    /** Its first timer is due when the handler's wait is over. */
+    private final IoHandlerContext context = new IoHandlerContext() {
         @Override
         public boolean canBlock() {
             return true;
         }
 
         @Override
-        public long delayNanos(long nowNanos) {
-            return 0;
+        public long delayNanos(long now) {
+            return ms(reading.waitMs);
         }
 
         @Override
@@ -73,36 +89,51 @@
 
     @Test
     void bothHalvesOfATurnCountAndTheWaitDoesNot() {
-        List<String> told = new ArrayList<>();
-        Reading reading = new Reading();
-        LoopWatch watch = new LoopWatch(reading, () -> nowNanos,
-                (inputMs, ready, tasksMs) -> told.add(inputMs + " " + ready + " " + tasksMs));
-
         reading.waitMs = 5000;
         reading.workMs = 60;
-        watch.run(CONTEXT);
+        watch.run(context);
         nowNanos += ms(LoopWatch.SLOW_MS - 60 - 1);
-        watch.run(CONTEXT);
+        watch.run(context);
         assertEquals(List.of(), told, "a millisecond less than slow");
 
         nowNanos += ms(LoopWatch.SLOW_MS - 60);
         reading.workMs = LoopWatch.SLOW_MS + 7;
-        watch.run(CONTEXT);
+        watch.run(context);
         assertEquals(List.of("60 3 40"), told);
 
-        watch.run(CONTEXT);
+        watch.run(context);
         assertEquals(List.of("60 3 40", "107 3 0"), told);
     }
 
+    @Test
+    void aWaitThatEndsAfterItsTimerWasDueIsNoWork() {
+        reading.waitMs = 1000;
+        reading.oversleptMs = LoopWatch.SLOW_MS - 1;
+        watch.run(context);
+        reading.oversleptMs = 650;
+        watch.run(context);
+        reading.oversleptMs = 0;
+        watch.run(context);
+        assertEquals(List.of("woke 650"), told);
+    }
+
     @Test
     @Timeout(60)
     void aTaskThatHoldsARealLoopIsToldOf() throws Exception {
-        CountDownLatch told = new CountDownLatch(1);
+        CountDownLatch slow = new CountDownLatch(1);
         long[] tasks = new long[1];
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
-                LoopWatch.factory(NioIoHandler.newFactory(), (inputMs, ready, tasksMs) -> {
-                    tasks[0] = Math.max(tasks[0], tasksMs);
-                    told.countDown();
+                LoopWatch.factory(NioIoHandler.newFactory(), new LoopWatch.Slow() {
+                    @Override
+                    public void turn(long inputMs, int ready, long tasksMs) {
+                        tasks[0] = Math.max(tasks[0], tasksMs);
+                        slow.countDown();
+                    }
+
+                    @Override
+                    public void woke(long lateMs) {
+                        // A busy machine wakes it when it can.
+                    }
                 }));
         try {
             EventLoop loop = group.next();
@@ -114,7 +145,7 @@
             }).sync();
             // Its turn is judged when the next begins.
             loop.submit(() -> { }).sync();
-            assertTrue(told.await(30, TimeUnit.SECONDS));
+            assertTrue(slow.await(30, TimeUnit.SECONDS));
             assertTrue(tasks[0] >= 2 * LoopWatch.SLOW_MS, tasks[0] + " ms");
         } finally {
             group.shutdownGracefully(0, 0, TimeUnit.SECONDS).sync();
