Sleep until a timer is due where the loop spun for the last half millisecond

Cause: the selector waits whole milliseconds and Netty's handler rounds to the nearest, so with less than a half left it asks the system without a wait until the timer is due. With rests of 4 ms and ticks of 2 ms that is each time. Change: LoopWatch hands the handler delays that are rounded up to whole milliseconds.

--- a/src/main/java/hopglade/proxy/LoopWatch.java
+++ b/src/main/java/hopglade/proxy/LoopWatch.java
@@ -13,6 +13,7 @@
  * Times each turn of an event loop: first what its connections brought is read, then its tasks and timers run. A slow one is told of
  * with both times and how many connections were ready, as everything else waits for it. So is a wait that ends late, for which the
  * loop did nothing: the machine had no core for it, or another thread held what it needed. Costs four readings of the clock a turn.
+ * And it has the loop sleep until a timer is due, where the last part of a millisecond would be spent on asking the system again.
  */
 final class LoopWatch implements IoHandler {
 
@@ -27,6 +28,7 @@
 
     /** A client's patience is some hundreds of milliseconds, and 100 ms after it has left nothing may begin for it. */
     static final long SLOW_MS = 100;
+    private static final long A_MILLISECOND = TimeUnit.MILLISECONDS.toNanos(1);
 
     private final IoHandler handler;
     private final LongSupplier nanos;
@@ -114,9 +116,15 @@
             return context.canBlock();
         }
 
+        /**
+         * The selector waits for whole milliseconds, and its handler rounds to the nearest: what is left of less than a half it would
+         * spend asking the system over and over. Rounded up it is slept through; a timer comes at most a millisecond later.
+         */
         @Override
         public long delayNanos(long nowNanos) {
-            return context.delayNanos(nowNanos);
+            long delay = context.delayNanos(nowNanos);
+            long over = delay % A_MILLISECOND;
+            return delay <= 0 || over == 0 || delay > Long.MAX_VALUE - A_MILLISECOND ? delay : delay + A_MILLISECOND - over;
         }
 
         @Override
--- a/src/test/java/hopglade/proxy/LoopWatchTest.java
+++ b/src/test/java/hopglade/proxy/LoopWatchTest.java
@@ -21,15 +21,18 @@
 class LoopWatchTest {
 
     private long nowNanos;
+    private long moreNanos;
 
     /** Reads for as long as it is told to, after a wait that is nobody's work. */
     private final class Reading implements IoHandler {
         private long waitMs;
         private long workMs;
         private long oversleptMs;
+        private long delayNanos;
 
         @Override
         public int run(IoHandlerContext context) {
+            delayNanos = context.delayNanos(nowNanos);
             nowNanos += ms(waitMs + oversleptMs + workMs);
             if (context.shouldReportActiveIoTime()) {
                 context.reportActiveIoTime(ms(workMs));
@@ -74,7 +77,7 @@
 
         @Override
         public long delayNanos(long now) {
-            return ms(reading.waitMs);
+            return ms(reading.waitMs) + moreNanos;
         }
 
         @Override
@@ -117,6 +120,21 @@
         assertEquals(List.of("woke 650"), told);
     }
 
+    /** The handler rounds to the nearest millisecond, and with none left asks the system without a wait, again and again. */
+    @Test
+    void whatIsLeftOfAMillisecondIsSleptThrough() {
+        for (long[] asked : new long[][] {{0, 1, 1}, {0, 400_000, 1}, {4, 1, 5}, {4, 0, 4}, {0, 0, 0}, {0, -1, 0}}) {
+            reading.waitMs = asked[0];
+            moreNanos = asked[1];
+            watch.run(context);
+            assertEquals(ms(asked[2]), Math.max(0, reading.delayNanos), asked[0] + " ms and " + asked[1] + " ns");
+        }
+        reading.waitMs = 0;
+        moreNanos = Long.MAX_VALUE;
+        watch.run(context);
+        assertEquals(Long.MAX_VALUE, reading.delayNanos, "no timer at all");
+    }
+
     @Test
     @Timeout(60)
     void aTaskThatHoldsARealLoopIsToldOf() throws Exception {
