--- a/src/main/java/hopglade/proxy/ClientServer.java
+++ b/src/main/java/hopglade/proxy/ClientServer.java
@@ -60,7 +60,7 @@
     private static final Pattern ID = Pattern.compile("[0-9A-Za-z_-]{1,64}");
     /** A budget past this is a mistake, and as a timer would outlive the process. */
     private static final double MAX_BUDGET_S = 3600;
-    private static final int MAX_WAITING = 16;
+    private static final int MAX_PIPELINED = 16;
     /** How often the limits in time are looked at: one timer for all, as most connections never reach one. */
     private static final long SWEEP_MS = 100;
     /** How long a connection may say nothing at first. */
@@ -279,7 +279,7 @@
     private final class Connection extends SimpleChannelInboundHandler<HttpObject> implements Proxy.Client {
         private final Channel channel;
         private final Bytes bytes = new Bytes();
-        private final Queue<Waiting> waiting = new ArrayDeque<>();
+        private final Queue<Pipelined> pipelined = new ArrayDeque<>();
         private final HalfClose halfClose;
         /** More came behind an open request than may wait: what waits is refused in its turn, and the rest dropped. */
         private boolean flooded;
@@ -344,7 +344,7 @@
         /** The end of this connection, but for one that breaks. */
         private void end() {
             enter(Phase.CLOSING);
-            dropWaiting();
+            dropPipelined();
             halfClose.begin(written);
         }
 
@@ -429,7 +429,7 @@
             }
             if (part instanceof HttpRequest request) {
                 coming = request instanceof FullHttpRequest ? null : new Upload(channel);
-                take(new Waiting(ReferenceCountUtil.retain(request), coming, System.nanoTime()));
+                take(new Pipelined(ReferenceCountUtil.retain(request), coming, System.nanoTime()));
             } else if (coming != null) {
                 coming(((HttpContent) part).retain());
             }
@@ -445,7 +445,7 @@
             }
         }
 
-        private void take(Waiting request) {
+        private void take(Pipelined request) {
             if (!busy()) {
                 try {
                     handle(request.request(), request.upload(), request.arrived());
@@ -453,9 +453,9 @@
                     ReferenceCountUtil.release(request.request());
                 }
             } else {
-                waiting.add(request);
+                pipelined.add(request);
                 // Reading has to go on all the same, or its leaving would not be seen.
-                flooded = waiting.size() >= MAX_WAITING;
+                flooded = pipelined.size() >= MAX_PIPELINED;
                 if (flooded) {
                     channel.config().setAutoRead(true);
                 }
@@ -569,7 +569,7 @@
         private boolean lasts(HttpResponse answer) {
             // While clients wait to be accepted, a connection that is kept would keep one of them out.
             boolean ends = stopped || emptying() || draining && !kept || full || crowded();
-            boolean last = ends && waiting.isEmpty() || !keepAlive || unread();
+            boolean last = ends && pipelined.isEmpty() || !keepAlive || unread();
             if (last) {
                 answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
@@ -663,20 +663,20 @@
 
         private void next() {
             if (flooded) {
-                refuseWaiting();
+                refusePipelined();
                 return;
             }
-            Waiting request = waiting.poll();
+            Pipelined request = pipelined.poll();
             if (request != null) {
                 take(request);
             }
         }
 
         /** None of them was sent on, so each may come again. */
-        private void refuseWaiting() {
-            for (Waiting each = waiting.poll(); each != null; each = waiting.poll()) {
+        private void refusePipelined() {
+            for (Pipelined each = pipelined.poll(); each != null; each = pipelined.poll()) {
                 each.drop();
-                keepAlive = !waiting.isEmpty();
+                keepAlive = !pipelined.isEmpty();
                 upload = null;
                 FullHttpResponse answer = response(HttpResponseStatus.SERVICE_UNAVAILABLE, Unpooled.EMPTY_BUFFER);
                 lasts(answer);
@@ -685,16 +685,16 @@
             end();
         }
 
-        private void dropWaiting() {
-            waiting.forEach(Waiting::drop);
-            waiting.clear();
+        private void dropPipelined() {
+            pipelined.forEach(Pipelined::drop);
+            pipelined.clear();
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             enter(Phase.CLOSING);
             closed(this);
-            dropWaiting();
+            dropPipelined();
             leave();
             if (flow != null) {
                 flow.exchange.cancel();
@@ -737,7 +737,7 @@
     }
 
     /** A request that came while another was open on its connection, and when, as its time runs from then. */
-    private record Waiting(HttpRequest request, Upload upload, long arrived) {
+    private record Pipelined(HttpRequest request, Upload upload, long arrived) {
         void drop() {
             ReferenceCountUtil.release(request);
             if (upload != null) {
