Let a failed accept rest a tenth, free a descriptor and never undo a handover

Seen by reading: where descriptors are out before the connections that clients may hold are, Netty's acceptor switches reading off for a second and on again whatever has been decided meanwhile, so a proxy that hands its socket on, or is full, accepts on; and nobody lets go of a descriptor. In the same moment NodePool.connect got a future of no socket: its listener ran on Netty's global thread, outside the loop, and the count of connections was never taken back.

Change: ClientServer.AcceptFailures lets go of one connection that asks for nothing, rests 100 ms and goes on only where clients may come (accept_failed in the log). NodePool.connect ends such an exchange at once as NEVER_SENT, on the loop, uncounted; that part is not forced by a test.

--- a/src/main/java/hopglade/proxy/ClientServer.java
+++ b/src/main/java/hopglade/proxy/ClientServer.java
@@ -81,6 +81,8 @@
      */
     private static final int KEPT_PART = 4;
     private static final long CROWDED_IDLE_MS = 2000;
+    /** When accepting is tried again after it failed: what is out of descriptors would fail at once, and for all. */
+    private static final long ACCEPT_AGAIN_MS = 100;
     /** Part of the connections that may have no request and never had a good one. */
     private static final int UNPROVEN_PART = 4;
 
@@ -89,6 +91,7 @@
     private final int maxConnections;
     private final Map<String, ServiceClass> classes = new HashMap<>();
     private final Set<Connection> connections = new LinkedHashSet<>();
+    private final Log log = new Log();
     /** Null before clients are let in. */
     private Channel listener;
     private boolean ready;
@@ -131,7 +134,7 @@
     }
 
     private ServerBootstrap serving(ServerBootstrap server) {
-        return server.childHandler(new ChannelInitializer<>() {
+        return server.handler(new AcceptFailures()).childHandler(new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
                 Connection connection = new Connection(channel);
@@ -230,16 +233,34 @@
      * listener's backlog until one has its answer: accepting past the limit would fail for all.
      */
     private void makeRoom() {
-        List<Connection> unproven = connections.stream().filter(c -> !c.proven && c.hasNoAnswer()).toList();
         boolean crowded = connections.size() + 1 >= maxConnections;
+        makeRoom(crowded);
+        if (crowded) {
+            full = true;
+            accept(false);
+        }
+    }
+
+    private void makeRoom(boolean crowded) {
+        List<Connection> unproven = connections.stream().filter(c -> !c.proven && c.hasNoAnswer()).toList();
         if (!unproven.isEmpty() && (crowded || unproven.size() >= Math.max(1, maxConnections / UNPROVEN_PART))) {
             unproven.stream().min(Comparator.comparingLong(c -> c.since)).ifPresent(c -> c.channel.close());
         } else if (crowded) {
             connections.stream().filter(c -> c.phase == Phase.IDLE).findFirst().ifPresent(Connection::end);
         }
-        if (crowded) {
-            full = true;
+    }
+
+    /**
+     * Descriptors are out before the connections that may be held are: one that asks for nothing is let go, and accepting
+     * rests for a moment. Left to Netty it would rest for a second and then go on whatever has been decided meanwhile.
+     */
+    private final class AcceptFailures extends ChannelInboundHandlerAdapter {
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            log.odd("accept_failed", "cause", cause.getMessage(), "clients", connections.size());
+            makeRoom(true);
             accept(false);
+            loop.schedule(() -> accept(!full && !handsOver() && !stopped), ACCEPT_AGAIN_MS, TimeUnit.MILLISECONDS);
         }
     }
 
--- a/src/main/java/hopglade/proxy/NodePool.java
+++ b/src/main/java/hopglade/proxy/NodePool.java
@@ -309,8 +309,6 @@
 
     private void connect(Target target, Exchange exchange) {
         Connection connection = new Connection(target);
-        connections++;
-        target.connections++;
         ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
@@ -318,6 +316,13 @@
                         new Answers(), connection);
             }
         }).connect(target.dial);
+        if (connecting.isDone()) {
+            // Connecting itself is a later step: no socket could be made, as descriptors are out, and the node is not to blame.
+            exchange.end(Outcome.NEVER_SENT, null);
+            return;
+        }
+        connections++;
+        target.connections++;
         exchange.channel = connecting.channel();
         target.connecting.add(exchange);
         connecting.channel().closeFuture().addListener(f -> {
--- a/src/test/java/hopglade/proxy/ClientLeftTest.java
+++ b/src/test/java/hopglade/proxy/ClientLeftTest.java
@@ -5,6 +5,9 @@
 
 import hopglade.Router.Actions;
 import hopglade.Router.Outcome;
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -17,6 +20,8 @@
 class ClientLeftTest extends WithSite {
 
     private static final String HOLDS = "holds";
+    /** Much longer than connections rest between two uses; where it is not, the test only forces less. */
+    private static final long REST_MS = 40;
 
     private final Held held = new Held();
 
@@ -41,6 +46,19 @@
         return other;
     }
 
+    /** Two connections to the node that are at rest, so that what is sent next is written at once and not after a turn or two. */
+    private void keepConnections() throws Exception {
+        try (Peer.Wire one = site.client(); Peer.Wire two = site.client()) {
+            one.write(get("one"));
+            two.write(get("two"));
+            for (Peer.Message each : List.of(site.node.next(), site.node.next())) {
+                each.wire().answer(200, "v");
+                assertEquals(Outcome.OK, Scripted.next(site.router.ends).outcome());
+            }
+            TimeUnit.MILLISECONDS.sleep(REST_MS);
+        }
+    }
+
     private static void leave(Peer.Wire client, boolean byReset) throws Exception {
         if (byReset) {
             client.socket().setSoLinger(true, 0);
@@ -123,6 +141,7 @@
 
     @Test
     void oneThatLeavesBetweenThePiecesOfARequestAndItsEnd() throws Exception {
+        keepConnections();
         String request = get("pieces");
         client.write(request.substring(0, request.length() / 2));
         try (Peer.Wire other = holdLoop()) {
@@ -137,6 +156,7 @@
 
     @Test
     void oneWhoseOtherRequestsWaitBehindTheOpenOne() throws Exception {
+        keepConnections();
         client.write(get("first") + get("second") + get("third"));
         Peer.Message first = site.node.next();
         assertEquals("first", first.header("X-Call-Id"));
@@ -188,7 +208,7 @@
         Thread writing = new Thread(() -> {
             try {
                 client.write(upload.substring(1000) + get("behind"));
-            } catch (java.io.IOException e) {
+            } catch (IOException e) {
                 throw new AssertionError(e);
             }
         });
--- a/src/test/java/hopglade/proxy/DescriptorsTest.java
+++ b/src/test/java/hopglade/proxy/DescriptorsTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -48,6 +49,25 @@
         assertNull(clients.getFirst().read(), "the one that waited longest was let go");
     }
 
+    /** Nothing of what clients may hold is discovery's or the nodes', and who asks finds a place among those that do not. */
+    @Test
+    void discoveryReturnsWhileIdleClientsHoldAllThatTheyMay() throws Exception {
+        Peer.Wire watch = site.discovery.next().wire();
+        for (int i = 0; i < 3 * CLIENTS; i++) {
+            connect();
+        }
+        watch.close();
+        Peer.Message again = site.discovery.next();
+        while (again.text() == null) {
+            again = site.discovery.next();
+        }
+        assertTrue(again.firstLine().startsWith("GET /discovery/hosts?watch=1"));
+        Peer.Wire asking = connect();
+        asking.write(site.get(Site.LONG_S));
+        site.node.next().wire().answer(200, "v");
+        assertEquals(200, Site.status(asking.read()));
+    }
+
     @Test
     void aBusyClientsEndLetsTheNextOneIn() throws Exception {
         Deque<Peer.Wire> nodes = new ArrayDeque<>();
--- a/src/test/java/hopglade/proxy/FullTableTest.java
+++ b/src/test/java/hopglade/proxy/FullTableTest.java
@@ -6,7 +6,12 @@
 
 import hopglade.Router.Availability;
 import hopglade.Router.Outcome;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
 
 /** A node that holds one connection and no more, as its table is full of others': it is healthy, and nothing is lost. */
@@ -59,6 +64,35 @@
         }
     }
 
+    /** Whether it is wanted is asked in the moment in which the connection that it waited for has come free. */
+    @Test
+    void whatNobodyWaitsForAnyMoreIsNotWritten() throws Exception {
+        Peer.Message out = onlyOne();
+        AtomicBoolean wanted = new AtomicBoolean(true);
+        loop.submit(() -> pool.send("c0", () -> new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api/left"), 60_000,
+                new Exchange.Done() {
+                    @Override
+                    public boolean isWanted() {
+                        return wanted.get();
+                    }
+
+                    @Override
+                    public void ended(Exchange exchange, Outcome outcome, FullHttpResponse response) {
+                        outcomes.add(outcome);
+                    }
+                })).get();
+        send();
+        wanted.set(false);
+        out.wire().answer(200, "v");
+        assertEquals(Outcome.OK, Scripted.next(outcomes));
+        rested();
+        assertEquals(Outcome.NEVER_SENT, Scripted.next(outcomes));
+        Peer.Message next = node.next();
+        assertEquals("GET /api/k1 HTTP/1.1", next.firstLine());
+        next.wire().answer(200, "v");
+        assertEquals(Outcome.OK, Scripted.next(outcomes));
+    }
+
     /** The node keeps its one exchange for ever: what waits is given up long before its own 60 s are over. */
     @Test
     void itWaitsNoLongerThanConnectingMayTake() throws Exception {
--- a/src/test/java/hopglade/proxy/OutcomeTest.java
+++ b/src/test/java/hopglade/proxy/OutcomeTest.java
@@ -7,7 +7,9 @@
 
 import hopglade.Router.AttemptEnd;
 import hopglade.Router.Outcome;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.HashSet;
 import java.util.Set;
@@ -36,6 +38,34 @@
         assertEquals(Outcome.RESET, Scripted.next(site.router.ends).outcome());
     }
 
+    /** As at a process that is killed: the request was handed to the system by then or not, and only then may it have run. */
+    @Test
+    void aNodeThatResetsRightAfterItsAcceptMayOnlyHaveRunWhatWasWrittenToIt() throws Exception {
+        try (ServerSocket killed = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            String list = Site.list(8, false, Site.host("c1", "127.0.0.1:" + killed.getLocalPort(), "up", 0)) + "\n";
+            site.discovery.next().wire().write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(list.length())
+                    + "\r\n" + list + "\r\n");
+            while (Scripted.next(site.router.lists).version() < 8) {
+                // The list that it starts with comes first.
+            }
+            site.router.onRequest = (request, out) -> out.send(request.id(), "c1", 0);
+            site.router.onEnd = (end, out) -> {
+                if (end.attempt() == 0) {
+                    out.send(end.request(), "c0", 0);
+                }
+            };
+            client.write(site.get(Site.LONG_S));
+            try (Socket accepted = killed.accept()) {
+                boolean sent = accepted.getInputStream().read() >= 0;
+                accepted.setSoLinger(true, 0);
+                assertTrue(sent);
+            }
+            assertEquals(Outcome.RESET, Scripted.next(site.router.ends).outcome());
+            site.node.next().wire().answer(200, "v");
+            assertEquals(200, Site.status(client.read()));
+        }
+    }
+
     @Test
     void anAnswerThatStopsHalfWayIsAReset() throws Exception {
         client.write(site.get(Site.LONG_S));
