--- a/src/main/java/hopglade/config/Toml.java
+++ b/src/main/java/hopglade/config/Toml.java
@@ -221,6 +221,16 @@
             return StreamSupport.stream(value.spliterator(), false).map(JsonNode::textValue).toList();
         }
 
+        /** A list of finite numbers between two bounds, both allowed; it must be there. */
+        public List<Double> numbers(String key, double least, double most) throws BadFileException {
+            JsonNode value = value(key, "");
+            if (value == null || !value.isArray() || StreamSupport.stream(value.spliterator(), false)
+                    .anyMatch(v -> !v.isNumber() || !(v.doubleValue() >= least && v.doubleValue() <= most))) {
+                throw bad(key, value == null ? "nothing" : value.toString(), "a list of numbers from " + plain(least) + " to " + plain(most));
+            }
+            return StreamSupport.stream(value.spliterator(), false).map(JsonNode::doubleValue).toList();
+        }
+
         /** A range: one number, or a list of the least and the most. */
         public double[] range(String key, double[] absent, double least, double most) throws BadFileException {
             JsonNode value = value(key, Arrays.toString(absent));
