Let what joins gossip and the policy see their sockets

Need: scale tests count bytes at the sockets of real control planes and delay, lose or hold what goes over them, without a twin of either. GossipSocket and PolicyService were free of a proxy's Service already (Sharing and Governing only join them to a Proxy), but nobody could reach their channels.

Both Hooks have opens(Channel), which does nothing by default and is called before anything of ours is in the pipeline: for the UDP socket, and for each policy connection made or taken.

--- a/src/main/java/hopglade/gossip/GossipSocket.java
+++ b/src/main/java/hopglade/gossip/GossipSocket.java
@@ -14,6 +14,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.FixedRecvByteBufAllocator;
@@ -45,6 +46,9 @@
 
         /** An event for the log. */
         void event(String name, Object... fields);
+
+        /** The socket is being set up; what is put into its pipeline here sees each packet as the wire does. */
+        default void opens(Channel socket) { }
     }
 
     private final EventLoop loop;
@@ -89,7 +93,13 @@
                 .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(RECEIVED_BYTES))
                 // Nothing is read before there is somebody to tell: the port, which may be drawn, is part of who we are.
                 .option(ChannelOption.AUTO_READ, false)
-                .handler(new Inbox()).bind(listen).await();
+                .handler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel socket) {
+                        hooks.opens(socket);
+                        socket.pipeline().addLast(new Inbox());
+                    }
+                }).bind(listen).await();
         if (!bound.isSuccess()) {
             throw new IOException("cannot listen on " + options.listen() + " for gossip: " + bound.cause().getMessage());
         }
--- a/src/main/java/hopglade/raft/Links.java
+++ b/src/main/java/hopglade/raft/Links.java
@@ -35,6 +35,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import javax.crypto.KeyAgreement;
 import javax.crypto.Mac;
 import javax.crypto.spec.SecretKeySpec;
@@ -65,16 +66,19 @@
     private final EventLoop loop;
     private final Identity identity;
     private final Map<String, InetSocketAddress> voters;
+    private final Consumer<Channel> opens;
     private final Inbox inbox;
     private final Map<String, Link> outgoing = new HashMap<>();
     private final Map<String, Link> incoming = new HashMap<>();
     private Channel listener;
     private boolean closed;
 
-    Links(EventLoop loop, Identity identity, Map<String, InetSocketAddress> voters, Inbox inbox) {
+    /** @param opens is given each connection before anything of ours is in its pipeline */
+    Links(EventLoop loop, Identity identity, Map<String, InetSocketAddress> voters, Consumer<Channel> opens, Inbox inbox) {
         this.loop = loop;
         this.identity = identity;
         this.voters = voters;
+        this.opens = opens;
         this.inbox = inbox;
     }
 
@@ -153,6 +157,7 @@
 
     private void pipe(Channel channel, Link link) {
         link.channel = channel;
+        opens.accept(channel);
         channel.pipeline().addLast(new ReadTimeoutHandler(SILENT_MS, TimeUnit.MILLISECONDS), new LengthFieldBasedFrameDecoder(MOST_FRAME, 0, 4, 0, 4),
                 new LengthFieldPrepender(4), link);
     }
--- a/src/main/java/hopglade/raft/PolicyService.java
+++ b/src/main/java/hopglade/raft/PolicyService.java
@@ -14,6 +14,7 @@
 import hopglade.gossip.NumericAddress;
 import hopglade.membership.Identity;
 import io.microraft.executor.RaftNodeExecutor;
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -43,6 +44,9 @@
 
         /** An event for the log. */
         void event(String name, Object... fields);
+
+        /** A connection is being set up, made or taken; what is put into its pipeline here sees each byte as the wire does. */
+        default void opens(Channel connection) { }
     }
 
     private final EventLoop loop;
@@ -69,7 +73,7 @@
         for (String voter : own.policy().voters()) {
             voters.put(voter.substring(0, voter.indexOf('=')), address(voter.substring(voter.indexOf('=') + 1)));
         }
-        links = new Links(loop, identity, voters, this::received);
+        links = new Links(loop, identity, voters, hooks::opens, this::received);
     }
 
     /**
