Play control planes of many proxies in few processes: lab hollow

Need: the target has 780 proxies, and one machine can't hold them as processes; virtual time charges nothing for a proxy's messages, so it says nothing about a control machine before 780 of them.

hopglade.lab.hollow opens the real GossipSocket and PolicyService for each plane, with its own key, address in 127/8, UDP and TCP sockets, folder and place (site, zone, region), and no clients; many share a process and its one event loop, a control machine is a process of its own. Links have delay, loss (packets) and cuts one way or both by distance. Counted: bytes and messages each way at the sockets, the loops' CPU and the processes', heap after a collection less the heap before, descriptors, connections, and from a proposal to the last proxy that runs it. Faults: a control machine killed, proxies replaced, areas cut. Runs are bounded, children end with their pipe, after a limit, or by their id. ExperimentFile.expect is public, so that bounds are read in one place.

Not done: loss on streams, four control machines (the policy takes 3, 5 or 7 voters), whole proxies beside the hollow ones.

--- /dev/null
+++ b/src/main/java/hopglade/cli/HollowCommand.java
@@ -0,0 +1,41 @@
+package hopglade.cli;
+
+import hopglade.config.BadFileException;
+import hopglade.gossip.KeyException;
+import hopglade.lab.hollow.ScaleTest;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** {@code lab hollow}. */
+@Command(name = "hollow", description = "Plays a scale test: many real control planes without clients, several a process, at several sizes.",
+        mixinStandardHelpOptions = true, versionProvider = Version.class, exitCodeListHeading = "%nExit codes:%n",
+        exitCodeList = {"0:all bounds hold in every run", "1:some fall short; each is named with figure and bound", "2:a bad file"})
+final class HollowCommand implements Callable<Integer> {
+
+    @Parameters(paramLabel = "FILE", description = "the scale test, as experiments/capacity/policy-rest.toml")
+    private Path file;
+
+    @Option(names = "--set", paramLabel = "KEY=VALUE", description = "another value for a key, as --set fleet.proxies=[60]")
+    private Map<String, String> set = new LinkedHashMap<>();
+
+    @Option(names = "--out", paramLabel = "DIR", description = "where results and logs go (default: target/lab/NAME)")
+    private Path out;
+
+    @Option(names = "--slopes", paramLabel = "FILE", defaultValue = "experiments/capacity/slopes.toml", description = "where slopes go (default: ${DEFAULT-VALUE})")
+    private Path slopes;
+
+    @Option(names = "--beside", paramLabel = "TEXT", defaultValue = "not said", description = "what else runs on the machine, kept with the slopes")
+    private String beside;
+
+    @Override
+    public Integer call() throws BadFileException, IOException, InterruptedException, KeyException {
+        ScaleTest test = new ScaleTest(file, set, beside);
+        return test.play(out == null ? Path.of("target", "lab", test.name()) : out, slopes, System.out) ? Cli.OK : Cli.FAILED;
+    }
+}
--- a/src/main/java/hopglade/lab/ExperimentFile.java
+++ b/src/main/java/hopglade/lab/ExperimentFile.java
@@ -272,7 +272,8 @@
         return IntStream.range(from, to).anyMatch(i -> found.equals(prefix + i));
     }
 
-    private static Experiment.Expect expect(Toml.Table t) throws BadFileException {
+    /** One {@code [[expect]]}: a figure and its bounds. */
+    public static Experiment.Expect expect(Toml.Table t) throws BadFileException {
         String figure = t.text("figure", "");
         if (!FIGURE.matcher(figure).matches()) {
             throw t.bad("figure", '"' + figure + '"', "a figure's dotted name, as served.worth");
--- /dev/null
+++ b/src/main/java/hopglade/lab/hollow/ControlPlane.java
@@ -0,0 +1,130 @@
+package hopglade.lab.hollow;
+
+import hopglade.config.Options;
+import hopglade.gossip.GossipSocket;
+import hopglade.gossip.KeyException;
+import hopglade.raft.PolicyService;
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+
+/** One plane: a proxy's gossip and policy on its own sockets, or a control machine's, with what they tell and what passes their sockets. */
+final class ControlPlane {
+
+    private static final double NS_PER_MS = 1e6;
+
+    /** An epoch came in force here, at a time of the machine's monotonic clock. */
+    record Applied(long epoch, double atMs) { }
+
+    private final int number;
+    private final EventLoop loop;
+    private final LinkTable links;
+    private final Options options;
+    private long seed;
+    private GossipSocket gossip;
+    private PolicyService policy;
+
+    // Changed and read on the loop.
+    final Traffic packets = new Traffic();
+    final Traffic streams = new Traffic();
+    final Set<String> known = new TreeSet<>();
+    final List<Applied> applied = new ArrayList<>();
+    long suspected;
+    long died;
+    boolean current;
+    boolean leads;
+
+    ControlPlane(int number, EventLoop loop, LinkTable links, Options options, long seed) {
+        this.number = number;
+        this.loop = loop;
+        this.links = links;
+        this.options = options;
+        this.seed = seed;
+    }
+
+    /** Opens its sockets and begins, as a process that starts does; not on the loop. */
+    void start() throws IOException, InterruptedException, KeyException {
+        seed++;
+        if (options.gossip().enabled()) {
+            gossip = GossipSocket.open(loop, () -> System.nanoTime() / NS_PER_MS, seed, options.gossip(), new GossipSocket.Hooks() {
+                @Override
+                public void standing(String node, boolean doubted) {
+                    // A hollow proxy sends to no node.
+                }
+
+                @Override
+                public void event(String name, Object... fields) {
+                    told(name, fields);
+                }
+
+                @Override
+                public void opens(Channel socket) {
+                    socket.pipeline().addLast(new PacketWire(number, links, packets));
+                }
+            });
+        }
+        if (options.policy().enabled()) {
+            policy = PolicyService.open(loop, options, null, seed, new PolicyService.Hooks() {
+                @Override
+                public void apply(Options next) {
+                    // What an epoch says has nothing here to act on.
+                }
+
+                @Override
+                public void event(String name, Object... fields) {
+                    told(name, fields);
+                }
+
+                @Override
+                public void opens(Channel connection) {
+                    connection.pipeline().addLast(new StreamWire(number, links, streams));
+                }
+            });
+        }
+    }
+
+    private void told(String event, Object... fields) {
+        String subject = String.valueOf(fields[1]);
+        switch (event) {
+            case "gossip_member" -> known.add(subject);
+            case "gossip_suspected" -> suspected++;
+            case "gossip_died" -> {
+                died++;
+                known.remove(subject);
+            }
+            case "gossip_left" -> known.remove(subject);
+            case "policy_current" -> current = true;
+            case "policy_not_current" -> current = false;
+            case "policy_leads" -> leads = true;
+            case "policy_applied" -> applied.add(new Applied(Long.parseLong(subject), Double.parseDouble(String.valueOf(fields[3]).substring("at:".length()))));
+            default -> { }
+        }
+    }
+
+    /** Tells the others that it goes, as a process that is told to end does. */
+    void leave() {
+        loop.execute(() -> {
+            if (gossip != null) {
+                gossip.leave();
+            }
+        });
+    }
+
+    /** Ends it at once. Not on the loop. */
+    void stop() throws InterruptedException {
+        loop.submit(() -> {
+            if (gossip != null) {
+                gossip.close();
+            }
+            if (policy != null) {
+                policy.close();
+            }
+            known.clear();
+            current = false;
+        }).sync();
+    }
+}
--- /dev/null
+++ b/src/main/java/hopglade/lab/hollow/PacketWire.java
@@ -0,0 +1,50 @@
+package hopglade.lab.hollow;
+
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.util.ReferenceCountUtil;
+import java.util.concurrent.TimeUnit;
+
+/** The link of a plane's packets, at the sender's socket: counts both ways, delays and loses what is sent. */
+final class PacketWire extends ChannelDuplexHandler {
+
+    private static final double US_PER_MS = 1000;
+
+    private final int self;
+    private final LinkTable links;
+    private final Traffic traffic;
+
+    PacketWire(int self, LinkTable links, Traffic traffic) {
+        this.self = self;
+        this.links = links;
+        this.traffic = traffic;
+    }
+
+    @Override
+    public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+        DatagramPacket packet = (DatagramPacket) message;
+        int to = LinkTable.plane(packet.recipient());
+        traffic.sent(packet.content().readableBytes() + Traffic.PACKET_HEADERS);
+        double delayMs = links.delayMs(self, to);
+        if (links.loses(self, to)) {
+            packet.release();
+            promise.trySuccess();
+        } else if (delayMs == 0) {
+            ctx.write(packet, promise);
+        } else {
+            ctx.executor().schedule(() -> ctx.writeAndFlush(packet, promise), (long) (delayMs * US_PER_MS), TimeUnit.MICROSECONDS);
+        }
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        if (message instanceof DatagramPacket p) {
+            traffic.received(p.content().readableBytes() + Traffic.PACKET_HEADERS);
+            ctx.fireChannelRead(p);
+        } else {
+            ReferenceCountUtil.release(message);
+        }
+    }
+}
--- a/src/test/java/hopglade/HouseRulesTest.java
+++ b/src/test/java/hopglade/HouseRulesTest.java
@@ -75,4 +75,13 @@
         holds(noClasses().that().resideInAPackage("hopglade.config..").should().dependOnClassesThat()
                 .resideInAnyPackage("hopglade", "hopglade.proxy..", "hopglade.lab..", "hopglade.cli..", "io.netty.."));
     }
+
+    @Test
+    void hollowPlanesAreWhatAProxyRunsAndNoTwins() {
+        // It joins gossip and raft as they are: nothing below them, and nothing that stands in for them.
+        holds(noClasses().that().resideInAPackage("hopglade.lab.hollow..").should().dependOnClassesThat()
+                .resideInAnyPackage("hopglade.proxy..", "hopglade.lab.virtual..", "hopglade.lab.sockets..", "hopglade.membership..", "hopglade.epoch..", "io.microraft.."));
+        holds(noClasses().that().resideOutsideOfPackages("hopglade.lab.hollow..", "hopglade.cli..").should().dependOnClassesThat()
+                .resideInAPackage("hopglade.lab.hollow.."));
+    }
 }
