--- a/src/main/java/hopglade/cli/LabCommands.java
+++ b/src/main/java/hopglade/cli/LabCommands.java
@@ -56,10 +56,10 @@
 
         Experiment read(Map<String, String> more) throws BadFileException {
             Map<String, String> all = new LinkedHashMap<>(set);
-            all.putAll(more);
             if (seed != null) {
                 all.put("seed", String.valueOf(seed));
             }
+            all.putAll(more);
             return ExperimentFile.read(file, all);
         }
     }
@@ -94,13 +94,20 @@
 
     @Command(name = "sim", description = "Plays the same experiment in virtual time: no proxies, no sockets, the same results from the same seed.",
             mixinStandardHelpOptions = true, versionProvider = Version.class)
-    int sim(@Mixin Given given, @Option(names = "--out", paramLabel = "DIR", description = "where results and report go (default: target/lab/NAME-sim)") Path out)
+    int sim(@Mixin Given given, @Option(names = "--out", paramLabel = "DIR", description = "where results and report go (default: target/lab/NAME-sim)") Path out,
+            @Option(names = "--repeat", paramLabel = "N", defaultValue = "1", description = "plays it N times, with seeds that follow one another") int repeat)
             throws BadFileException, IOException {
-        Experiment experiment = given.read(Map.of());
-        Path directory = Files.createDirectories(out == null ? Path.of("target", "lab", experiment.name() + "-sim") : out);
-        Results results = new VirtualRun(experiment).play();
-        tell(results, directory);
-        return results.good() ? Cli.OK : Cli.FAILED;
+        checkRepeat(repeat);
+        boolean good = true;
+        long first = given.read(Map.of()).seed();
+        for (int i = 0; i < repeat; i++) {
+            Experiment experiment = given.read(repeat == 1 ? Map.of() : Map.of("seed", String.valueOf(first + i)));
+            Path directory = out == null ? Path.of("target", "lab", experiment.name() + "-sim") : out;
+            Results results = new VirtualRun(experiment).play();
+            tell(results, Files.createDirectories(repeat == 1 ? directory : directory.resolve(String.valueOf(i + 1))));
+            good &= results.good();
+        }
+        return good ? Cli.OK : Cli.FAILED;
     }
 
     @Command(name = "hunt", description = "Draws days from a seed and plays them in virtual time; what breaks a rule is made as small as it can be and written down.",
