--- /dev/null
+++ b/src/test/java/hopglade/lab/ledger/ColdStartsTest.java
@@ -0,0 +1,46 @@
+package hopglade.lab.ledger;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import hopglade.config.Toml;
+import hopglade.lab.ExperimentFile;
+import hopglade.lab.ledger.Ledger.Attempt;
+import hopglade.lab.ledger.Ledger.Started;
+import hopglade.lab.ledger.Ledger.Told;
+import hopglade.lab.ledger.Rules.Rule;
+import hopglade.lab.ledger.Rules.Violation;
+import hopglade.lab.world.ColdAllowance;
+import hopglade.lab.world.World.Health;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The rule on cold nodes, by hand: nine calls are allowed in a window, and 2 x 3 + 2 more are chance. */
+class ColdStartsTest {
+
+    private static final double START = 10_000;
+    /** Warm so late that the allowance stays; 3 x 0.2 x capacity 1 x 1500 ms over 100 ms. */
+    private static final ColdAllowance NINE = new ColdAllowance(3, 1500, 0.2, 1e12, 100);
+
+    private static List<Violation> judged(int calls, int told, double callMs, double apartMs) throws Exception {
+        Ledger ledger = new Ledger();
+        ledger.started(new Started("node-0", START, 1, NINE));
+        for (int i = 0; i < calls; i++) {
+            double at = START + 1 + i * apartMs;
+            if (i < told) {
+                ledger.told(new Told(i, "node-0", Health.UP, START, START));
+            }
+            // Of no client: that breaks another rule, which is not looked at here.
+            ledger.attempt(new Attempt(i + 1, "call-" + i, "node-0", false, i, at, at, 0.5, callMs));
+        }
+        return Rules.check(ledger, ExperimentFile.of(Toml.parse("t", "name = \"t\"\n[proxies]\ncount = 100\n")))
+                .stream().filter(v -> v.rule() == Rule.COLD_NODE).toList();
+    }
+
+    @ParameterizedTest(name = "{0} calls of {2} ms, {1} by proxies that knew, {3} ms apart: {4}")
+    @CsvSource({"17, 17, 100, 10, 0", "18, 18, 100, 10, 1", "60, 60, 100, 10, 1", "40, 40, 100, 90, 0", "36, 36, 50, 10, 1", "34, 34, 50, 10, 0",
+        "18, 13, 100, 10, 1", "18, 11, 100, 10, 0", "60, 0, 100, 10, 0"})
+    void theSumOfAllProxiesIsHeldToTheAllowance(int calls, int told, double callMs, double apartMs, int broken) throws Exception {
+        assertEquals(broken, judged(calls, told, callMs, apartMs).size());
+    }
+}
