--- a/src/main/java/hopglade/raft/Codec.java
+++ b/src/main/java/hopglade/raft/Codec.java
@@ -6,27 +6,35 @@
 import hopglade.epoch.Epochs;
 import hopglade.epoch.Epochs.Epoch;
 import hopglade.epoch.Message;
+import hopglade.stream.Change;
+import hopglade.stream.Frames;
 import io.microraft.RaftEndpoint;
 import io.microraft.model.RaftModelFactory;
 import io.microraft.model.impl.DefaultRaftModelFactory;
+import io.microraft.model.log.BaseLogEntry;
 import io.microraft.model.log.LogEntry;
 import io.microraft.model.log.RaftGroupMembersView;
+import io.microraft.model.log.SnapshotChunk;
 import io.microraft.model.message.AppendEntriesFailureResponse;
 import io.microraft.model.message.AppendEntriesRequest;
 import io.microraft.model.message.AppendEntriesSuccessResponse;
+import io.microraft.model.message.InstallSnapshotRequest;
+import io.microraft.model.message.InstallSnapshotResponse;
 import io.microraft.model.message.PreVoteRequest;
 import io.microraft.model.message.PreVoteResponse;
 import io.microraft.model.message.RaftMessage;
 import io.microraft.model.message.TriggerLeaderElectionRequest;
 import io.microraft.model.message.VoteRequest;
 import io.microraft.model.message.VoteResponse;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
+import java.util.Base64;
 import java.util.Collection;
 import java.util.List;
 
 /**
- * Raft's and the policy's messages and log entries as JSON, each with its kind in {@code t}. Snapshots have no form here: the log of a
- * fleet's policies stays far below the entries at which one would be taken. What is malformed throws a RuntimeException.
+ * Raft's, the policy's and the change stream's messages, log entries and snapshots as JSON, each with its kind in {@code t}. What is malformed
+ * throws a RuntimeException.
  */
 final class Codec {
 
@@ -38,14 +46,59 @@
     // Log entries.
 
     static JsonObject entry(LogEntry e) {
-        JsonObject o = change((Epochs.Change) e.getOperation());
+        return placed(operation(e.getOperation()), e);
+    }
+
+    private static JsonObject placed(JsonObject o, BaseLogEntry e) {
         o.addProperty("index", e.getIndex());
         o.addProperty("term", e.getTerm());
         return o;
     }
 
     static LogEntry entry(JsonObject o) {
-        return MODELS.createLogEntryBuilder().setIndex(o.get("index").getAsLong()).setTerm(o.get("term").getAsInt()).setOperation(change(o)).build();
+        return MODELS.createLogEntryBuilder().setIndex(o.get("index").getAsLong()).setTerm(o.get("term").getAsInt()).setOperation(operation(o)).build();
+    }
+
+    /** A part of a snapshot; what it holds is bytes. */
+    static JsonObject chunk(SnapshotChunk c) {
+        JsonObject o = new JsonObject();
+        o.addProperty("bytes", Base64.getEncoder().encodeToString((byte[]) c.getOperation()));
+        o.addProperty("part", c.getSnapshotChunkIndex());
+        o.addProperty("parts", c.getSnapshotChunkCount());
+        o.add("view", members(c.getGroupMembersView()));
+        return placed(o, c);
+    }
+
+    static SnapshotChunk chunk(JsonObject o) {
+        return MODELS.createSnapshotChunkBuilder().setIndex(o.get("index").getAsLong()).setTerm(o.get("term").getAsInt())
+                .setOperation(Base64.getDecoder().decode(o.get("bytes").getAsString())).setSnapshotChunkIndex(o.get("part").getAsInt())
+                .setSnapshotChunkCount(o.get("parts").getAsInt()).setGroupMembersView(members(o.getAsJsonObject("view"))).build();
+    }
+
+    private static JsonObject operation(Object operation) {
+        if (operation instanceof Epochs.Change change) {
+            return change(change);
+        }
+        JsonObject o = new JsonObject();
+        if (operation instanceof StreamLog.Found f) {
+            o.addProperty("op", "found");
+            o.addProperty("lineage", f.lineage());
+        } else {
+            Change change = (Change) operation;
+            ByteBuffer bytes = ByteBuffer.allocate(Frames.bytes(change));
+            Frames.write(bytes, change);
+            o.addProperty("op", "stream");
+            o.addProperty("change", Base64.getEncoder().encodeToString(bytes.array()));
+        }
+        return o;
+    }
+
+    private static Object operation(JsonObject o) {
+        return switch (o.get("op").getAsString()) {
+            case "found" -> new StreamLog.Found(o.get("lineage").getAsLong());
+            case "stream" -> Frames.read(ByteBuffer.wrap(Base64.getDecoder().decode(o.get("change").getAsString())));
+            default -> change(o);
+        };
     }
 
     private static JsonObject change(Epochs.Change change) {
@@ -142,6 +195,25 @@
             o.addProperty("t", "elect");
             o.addProperty("last_term", r.getLastLogTerm());
             o.addProperty("last_index", r.getLastLogIndex());
+        } else if (m instanceof InstallSnapshotRequest r) {
+            o.addProperty("t", "snapshot");
+            o.addProperty("leads", r.isSenderLeader());
+            o.addProperty("snapshot_term", r.getSnapshotTerm());
+            o.addProperty("snapshot_index", r.getSnapshotIndex());
+            o.addProperty("parts", r.getTotalSnapshotChunkCount());
+            if (r.getSnapshotChunk() != null) {
+                o.add("chunk", chunk(r.getSnapshotChunk()));
+            }
+            o.add("have", names(r.getSnapshottedMembers()));
+            o.add("view", members(r.getGroupMembersView()));
+            o.addProperty("query", r.getQuerySequenceNumber());
+            o.addProperty("flow", r.getFlowControlSequenceNumber());
+        } else if (m instanceof InstallSnapshotResponse r) {
+            o.addProperty("t", "snapshot-part");
+            o.addProperty("snapshot_index", r.getSnapshotIndex());
+            o.addProperty("part", r.getRequestedSnapshotChunkIndex());
+            o.addProperty("query", r.getQuerySequenceNumber());
+            o.addProperty("flow", r.getFlowControlSequenceNumber());
         } else {
             return null;
         }
@@ -184,6 +256,15 @@
                     .setGranted(o.get("granted").getAsBoolean()).build();
             case "elect" -> MODELS.createTriggerLeaderElectionRequestBuilder().setGroupId(GROUP).setSender(from).setTerm(term)
                     .setLastLogTerm(o.get("last_term").getAsInt()).setLastLogIndex(o.get("last_index").getAsLong()).build();
+            case "snapshot" -> MODELS.createInstallSnapshotRequestBuilder().setGroupId(GROUP).setSender(from).setTerm(term)
+                    .setSenderLeader(o.get("leads").getAsBoolean()).setSnapshotTerm(o.get("snapshot_term").getAsInt())
+                    .setSnapshotIndex(o.get("snapshot_index").getAsLong()).setTotalSnapshotChunkCount(o.get("parts").getAsInt())
+                    .setSnapshotChunk(o.has("chunk") ? chunk(o.getAsJsonObject("chunk")) : null)
+                    .setSnapshottedMembers(endpoints(o.getAsJsonArray("have"))).setGroupMembersView(members(o.getAsJsonObject("view")))
+                    .setQuerySequenceNumber(o.get("query").getAsLong()).setFlowControlSequenceNumber(o.get("flow").getAsLong()).build();
+            case "snapshot-part" -> MODELS.createInstallSnapshotResponseBuilder().setGroupId(GROUP).setSender(from).setTerm(term)
+                    .setSnapshotIndex(o.get("snapshot_index").getAsLong()).setRequestedSnapshotChunkIndex(o.get("part").getAsInt())
+                    .setQuerySequenceNumber(o.get("query").getAsLong()).setFlowControlSequenceNumber(o.get("flow").getAsLong()).build();
             default -> throw new IllegalArgumentException("no such message: " + o.get("t"));
         };
     }
--- a/src/main/java/hopglade/raft/LogFile.java
+++ b/src/main/java/hopglade/raft/LogFile.java
@@ -26,35 +26,31 @@
 import java.util.zip.CRC32;
 
 /**
- * What a voter must not forget, as lines of a checksum and JSON in one file that only grows while the process runs; a start writes it
- * anew without what was replaced. Synced where the library asks. A last line that is torn was never confirmed to anyone and is dropped;
- * damage before it refuses the start, as a voter that has forgotten its vote could give it twice.
+ * What a voter must not forget, as lines of a checksum and JSON in one file. It grows until a snapshot takes the place of entries; then, and
+ * at a start, it is written anew beside itself and renamed, without what was replaced. Synced where the library asks. A last line that is torn
+ * was never confirmed to anyone and is dropped; damage before it refuses the start, as a voter that has forgotten its vote could give it twice.
  */
 final class LogFile implements RaftStore, Closeable {
 
-    /** What was read. */
+    /** What the file holds. */
     private Endpoint endpoint;
     private boolean voting;
     private JsonObject members;
     private JsonObject term;
     private final TreeMap<Long, LogEntry> entries = new TreeMap<>();
+    /** Parts of snapshots by the index that they stand for; all but the last whole one go with the next rewriting. */
+    private final TreeMap<Long, TreeMap<Integer, SnapshotChunk>> snapshots = new TreeMap<>();
 
-    private final FileChannel channel;
+    private final Path file;
+    /** Where lines go; a test puts another in its place. */
+    FileChannel channel;
 
     private LogFile(Path file) throws IOException {
+        this.file = file;
         if (Files.exists(file)) {
             read(file);
         }
-        Path fresh = file.resolveSibling(file.getFileName() + ".new");
-        channel = FileChannel.open(fresh, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE);
-        try {
-            rewrite();
-            Files.move(fresh, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
-            sync(file.getParent());
-        } catch (IOException e) {
-            channel.close();
-            throw e;
-        }
+        rewrite();
     }
 
     static LogFile open(Path folder) throws IOException {
@@ -101,11 +97,46 @@
                 entries.put(e.getIndex(), e);
             }
             case "from" -> entries.tailMap(line.get("index").getAsLong(), true).clear();
+            case "until" -> entries.headMap(line.get("index").getAsLong(), true).clear();
+            case "chunk" -> keep(Codec.chunk(line));
+            case "no-chunks" -> snapshots.remove(line.get("index").getAsLong());
             default -> throw new IllegalStateException("no such line: " + line.get("k"));
         }
     }
 
+    private void keep(SnapshotChunk chunk) {
+        snapshots.computeIfAbsent(chunk.getIndex(), i -> new TreeMap<>()).put(chunk.getSnapshotChunkIndex(), chunk);
+    }
+
+    /** The last snapshot of which all parts are there; null without one. */
+    private TreeMap<Integer, SnapshotChunk> snapshot() {
+        return snapshots.descendingMap().values().stream().filter(c -> c.size() == c.firstEntry().getValue().getSnapshotChunkCount()).findFirst().orElse(null);
+    }
+
+    /** What holds, as a new file in the old one's place. Where that fails the old one stays, and is written on. */
     private void rewrite() throws IOException {
+        TreeMap<Integer, SnapshotChunk> last = snapshot();
+        if (last != null) {
+            snapshots.headMap(last.firstEntry().getValue().getIndex(), false).clear();
+        }
+        Path fresh = file.resolveSibling(file.getFileName() + ".new");
+        FileChannel old = channel;
+        channel = FileChannel.open(fresh, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE);
+        try {
+            writeAll();
+            Files.move(fresh, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+            sync(file.getParent());
+        } catch (IOException e) {
+            channel.close();
+            channel = old;
+            throw e;
+        }
+        if (old != null) {
+            old.close();
+        }
+    }
+
+    private void writeAll() throws IOException {
         if (endpoint != null) {
             write("self", self(endpoint.name(), voting));
         }
@@ -115,6 +146,11 @@
         if (term != null) {
             write("term", term);
         }
+        for (TreeMap<Integer, SnapshotChunk> chunks : snapshots.values()) {
+            for (SnapshotChunk c : chunks.values()) {
+                write("chunk", Codec.chunk(c));
+            }
+        }
         for (LogEntry e : entries.values()) {
             write("entry", Codec.entry(e));
         }
@@ -154,7 +190,14 @@
         }
         var self = Codec.MODELS.createRaftEndpointPersistentStateBuilder().setLocalEndpoint(endpoint).setVoting(voting).build();
         var voted = Codec.MODELS.createRaftTermPersistentStateBuilder().setTerm(term()).setVotedFor(term.has("voted") ? new Endpoint(term.get("voted").getAsString()) : null).build();
-        return new RestoredRaftState(self, Codec.members(members), voted, null, new ArrayList<>(entries.values()));
+        TreeMap<Integer, SnapshotChunk> last = snapshot();
+        if (last == null) {
+            return new RestoredRaftState(self, Codec.members(members), voted, null, new ArrayList<>(entries.values()));
+        }
+        SnapshotChunk first = last.firstEntry().getValue();
+        var snapshot = Codec.MODELS.createSnapshotEntryBuilder().setIndex(first.getIndex()).setTerm(first.getTerm())
+                .setSnapshotChunks(List.copyOf(last.values())).setGroupMembersView(first.getGroupMembersView()).build();
+        return new RestoredRaftState(self, Codec.members(members), voted, snapshot, new ArrayList<>(entries.tailMap(first.getIndex(), false).values()));
     }
 
     /** The term that was read; 0 without one. */
@@ -164,13 +207,16 @@
 
     @Override
     public void persistAndFlushLocalEndpoint(RaftEndpointPersistentState state) throws IOException {
-        write("self", self((String) state.getLocalEndpoint().getId(), state.isVoting()));
+        endpoint = (Endpoint) state.getLocalEndpoint();
+        voting = state.isVoting();
+        write("self", self(endpoint.name(), voting));
         flush();
     }
 
     @Override
     public void persistAndFlushInitialGroupMembers(RaftGroupMembersView view) throws IOException {
-        write("members", Codec.members(view));
+        members = Codec.members(view);
+        write("members", members);
         flush();
     }
 
@@ -181,6 +227,7 @@
         if (state.getVotedFor() != null) {
             o.addProperty("voted", (String) state.getVotedFor().getId());
         }
+        term = o;
         write("term", o);
         flush();
     }
@@ -189,29 +236,40 @@
     public void persistLogEntries(List<LogEntry> added) throws IOException {
         for (LogEntry e : added) {
             write("entry", Codec.entry(e));
+            entries.tailMap(e.getIndex(), true).clear();
+            entries.put(e.getIndex(), e);
         }
     }
 
     @Override
     public void truncateLogEntriesFrom(long index) throws IOException {
+        write("from", at(index));
+        entries.tailMap(index, true).clear();
+    }
+
+    private static JsonObject at(long index) {
         JsonObject o = new JsonObject();
         o.addProperty("index", index);
-        write("from", o);
+        return o;
     }
 
     @Override
     public void persistSnapshotChunk(SnapshotChunk chunk) throws IOException {
-        throw new IOException("snapshots are not kept");
+        write("chunk", Codec.chunk(chunk));
+        keep(chunk);
     }
 
     @Override
     public void truncateLogEntriesUntil(long index) throws IOException {
-        throw new IOException("snapshots are not kept");
+        write("until", at(index));
+        entries.headMap(index, true).clear();
+        rewrite();
     }
 
     @Override
     public void deleteSnapshotChunks(long index, int count) throws IOException {
-        throw new IOException("snapshots are not kept");
+        write("no-chunks", at(index));
+        snapshots.remove(index);
     }
 
     @Override
--- a/src/main/java/hopglade/raft/PolicyService.java
+++ b/src/main/java/hopglade/raft/PolicyService.java
@@ -13,7 +13,6 @@
 import hopglade.gossip.LocalSocket;
 import hopglade.gossip.NumericAddress;
 import hopglade.membership.Identity;
-import io.microraft.executor.RaftNodeExecutor;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import java.io.IOException;
@@ -116,7 +115,7 @@
             unusable(e);
         }
         if (file != null) {
-            log = new RaftLog(new RaftLog.Parts(identity.name(), List.copyOf(voters.keySet()), epochs, new OnLoop(), PolicyService::now, seed, file, file.restored()),
+            log = new RaftLog(new RaftLog.Parts(identity.name(), List.copyOf(voters.keySet()), epochs, new OnLoop(loop), PolicyService::now, seed, file, file.restored()),
                     links::ask, this::committed);
             links.listen(address(own.policy().listen()));
         }
@@ -276,23 +275,4 @@
         }
         return lines.isEmpty() ? "no epoch yet: each proxy runs its own file" : String.join("\n", lines);
     }
-
-    private final class OnLoop implements RaftNodeExecutor {
-        @Override
-        public void execute(Runnable task) {
-            loop.execute(task);
-        }
-
-        @Override
-        public void submit(Runnable task) {
-            loop.execute(task);
-        }
-
-        @Override
-        public void schedule(Runnable task, long delay, TimeUnit unit) {
-            if (!loop.isShuttingDown()) {
-                loop.schedule(task, delay, unit);
-            }
-        }
-    }
 }
--- /dev/null
+++ b/src/main/java/hopglade/raft/StreamService.java
@@ -0,0 +1,126 @@
+package hopglade.raft;
+
+import com.google.gson.JsonObject;
+import hopglade.membership.Identity;
+import hopglade.stream.Deliveries.Everywhere;
+import hopglade.stream.Message;
+import hopglade.stream.Window;
+import hopglade.stream.wire.StreamServer;
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A {@link ControlMachine} as a process has it: its file, the sealed links to the others, which are the policy's, and the socket for those it
+ * serves. All of it runs on one loop, but for what the file's syncs take.
+ */
+public final class StreamService implements ControlMachine.Out {
+
+    private static final Logger LOG = LoggerFactory.getLogger(StreamService.class);
+    private static final long TICK_MS = 50;
+    private static final double NS_PER_MS = 1e6;
+
+    /** Who it is, the control machines' addresses for one another, where it listens for them, and its folder. */
+    public record Parts(Identity identity, Map<String, InetSocketAddress> controls, InetSocketAddress links, Path folder, Window.Bounds bounds, EventLoop loop,
+                        long seed, int snapshotEvery) { }
+
+    private final Parts parts;
+    private final StreamServer server;
+    private final Links links;
+    private final LogFile file;
+    private final ControlMachine machine;
+    private final Consumer<Everywhere> everywhere;
+    private ScheduledFuture<?> ticking;
+    private boolean toldBroken;
+
+    /**
+     * Reads what it kept; throws where that is damaged, or its folder can't be written.
+     *
+     * @param everywhere told, where this one leads, of entries that have come to be everywhere
+     */
+    public StreamService(Parts parts, Consumer<Everywhere> everywhere) throws IOException {
+        this.parts = parts;
+        this.everywhere = everywhere;
+        links = new Links(parts.loop(), parts.identity(), parts.controls(), this::received);
+        file = LogFile.open(parts.folder());
+        machine = new ControlMachine(new ControlMachine.Parts(parts.identity().name(), List.copyOf(parts.controls().keySet()), parts.bounds(),
+                new OnLoop(parts.loop()), StreamService::now, parts.seed(), file, file.restored(), parts.snapshotEvery()), this);
+        server = new StreamServer(parts.loop(), machine.publisher(), StreamService::now);
+    }
+
+    private static double now() {
+        return System.nanoTime() / NS_PER_MS;
+    }
+
+    /** Begins; the address is the one bound for those it serves, where port 0 was asked for. */
+    public InetSocketAddress listen(InetSocketAddress at) throws IOException, InterruptedException {
+        links.listen(parts.links());
+        InetSocketAddress bound = server.listen(at);
+        parts.loop().submit(() -> {
+            links.start();
+            machine.start();
+            ticking = parts.loop().scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+        }).sync();
+        return bound;
+    }
+
+    private void tick() {
+        machine.tick(now());
+        if (machine.broken() && !toldBroken) {
+            toldBroken = true;
+            LOG.error("stream.disk name={} folder={}: the log can't be written any more; this control machine takes no part until it starts again",
+                    parts.identity().name(), parts.folder());
+        }
+    }
+
+    private void received(String from, JsonObject json) {
+        machine.received(from, json);
+    }
+
+    /** What it does; on the loop. */
+    public ControlMachine machine() {
+        return machine;
+    }
+
+    @Override
+    public void send(long connection, Message message) {
+        server.send(connection, message);
+    }
+
+    @Override
+    public void close(long connection, String why) {
+        server.close(connection, why);
+    }
+
+    @Override
+    public void tell(String control, JsonObject message) {
+        links.ask(control, message);
+    }
+
+    @Override
+    public void everywhere(Everywhere entry) {
+        everywhere.accept(entry);
+    }
+
+    /** Ends it; on the loop. */
+    public void close() {
+        ticking.cancel(false);
+        server.close();
+        links.close();
+        machine.stop().whenComplete((o, fault) -> {
+            try {
+                file.close();
+            } catch (IOException e) {
+                LOG.warn("stream.disk name={} {}", parts.identity().name(), e.getMessage());
+            }
+        });
+    }
+}
--- a/src/main/java/hopglade/stream/Deliveries.java
+++ b/src/main/java/hopglade/stream/Deliveries.java
@@ -50,12 +50,6 @@
         rows.forEach(r -> acked(now, r.name(), r.acked()));
     }
 
-    /** It is no subscriber any more, and is not waited for. */
-    public void left(String name) {
-        known.remove(name);
-        changed.remove(name);
-    }
-
     /** What has been heard since the last call: the tally for whoever sums. */
     public List<Row> heard() {
         Map<String, Long> news = changed;
@@ -70,6 +64,11 @@
         }
     }
 
+    /** Nothing is watched any more: another one sums. */
+    public void unwatch() {
+        pending.clear();
+    }
+
     /** The entries that have come to be everywhere since the last call. */
     public List<Everywhere> everywhere(double now) {
         known.values().removeIf(k -> now - k.heardAt() > forgetMs);
--- a/src/main/java/hopglade/stream/Message.java
+++ b/src/main/java/hopglade/stream/Message.java
@@ -3,7 +3,7 @@
 import hopglade.stream.Change.Epoch;
 import java.util.List;
 
-/** What goes over a connection: {@link Hello} and {@link Ack} up, the others down, {@link Tally} up from a control machine alone. */
+/** What goes over a connection: {@link Hello} and {@link Ack} up, the others down, {@link Tally} from one control machine to another. */
 public sealed interface Message permits Message.Hello, Message.Ack, Message.Batch, Message.Snapshot, Message.Beat, Message.Tally {
 
     /** Opens a connection: whose stream is known ({@code lineage}, 0 for none) up to where, and how many bytes of entries may come. */
--- a/src/main/java/hopglade/stream/Publisher.java
+++ b/src/main/java/hopglade/stream/Publisher.java
@@ -5,7 +5,6 @@
 import hopglade.stream.Message.Beat;
 import hopglade.stream.Message.Hello;
 import hopglade.stream.Message.Snapshot;
-import hopglade.stream.Message.Tally;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -38,8 +37,6 @@
         private long spentBytes;
         private double heardAt;
         private boolean writable = true;
-        /** It serves others and tells of them; itself it is no proxy. */
-        private boolean relays;
 
         Reader(String name) {
             this.name = name;
@@ -77,20 +74,11 @@
         } else if (m instanceof Ack a && reader != null) {
             reader.heardAt = now;
             reader.allowedBytes = Math.max(reader.allowedBytes, a.allowedBytes());
-            if (!reader.relays) {
-                deliveries.acked(now, reader.name, a.applied());
-            }
+            deliveries.acked(now, reader.name, a.applied());
             if (a.stamp() >= 0) {
                 beat(now, connection, a.stamp(), out);
             }
             fill(connection, reader, out);
-        } else if (m instanceof Tally t && reader != null) {
-            reader.heardAt = now;
-            if (!reader.relays) {
-                reader.relays = true;
-                deliveries.left(reader.name);
-            }
-            deliveries.add(now, t.rows());
         } else {
             refuse(connection, "not expected here: " + m.getClass().getSimpleName(), out);
         }
--- a/src/main/java/hopglade/stream/Subscriber.java
+++ b/src/main/java/hopglade/stream/Subscriber.java
@@ -57,10 +57,11 @@
     static final double SPREAD_MS = 200;
     private static final double AVOID_MS = 500;
     private static final double MOST_AVOID_MS = 8000;
+    private static final int MOST_STALE_MOVES = 7;
     private static final double HOME_MS = 20_000;
     private static final double MOST_HOME_MS = 600_000;
     /** A control machine that has not heard of the log for so long is left for another. */
-    private static final long STALE_MS = 1500;
+    private static final long STALE_MS = 2000;
     private static final double ALLOW_AGAIN = 0.125;
 
     private enum State { WAITING, CONNECTING, OPEN }
@@ -82,6 +83,8 @@
     private double until;
     private double homeAt = Double.POSITIVE_INFINITY;
     private double homeMs = HOME_MS;
+    private int staleMoves;
+    private double staleMoveAt = Double.NEGATIVE_INFINITY;
 
     private long lineage;
     private long applied;
@@ -298,7 +301,11 @@
     private void beat(double now, Beat b, Out out) {
         if (b.ageMs() <= STALE_MS) {
             avoided.get(server).failures = 0;
-        } else if (ranked.size() > 1 && ranked.stream().anyMatch(s -> !s.equals(server) && avoided.get(s).until <= now)) {
+            staleMoves = 0;
+            staleMoveAt = Double.NEGATIVE_INFINITY;
+        } else if (now >= staleMoveAt && ranked.stream().anyMatch(s -> !s.equals(server) && avoided.get(s).until <= now)) {
+            // Where all are behind nobody may go in circles.
+            staleMoveAt = now + AVOID_MS * (1L << Math.min(++staleMoves, MOST_STALE_MOVES));
             leave(now, What.STALE, out);
             return;
         }
--- a/src/main/java/hopglade/stream/Window.java
+++ b/src/main/java/hopglade/stream/Window.java
@@ -1,6 +1,7 @@
 package hopglade.stream;
 
 import hopglade.stream.Change.Epoch;
+import hopglade.stream.Message.Batch;
 import hopglade.stream.Message.Snapshot;
 import java.util.ArrayList;
 import java.util.List;
@@ -109,6 +110,31 @@
         return found;
     }
 
+    /** All that is held, as messages of so many bytes at most, but for one longer change: a snapshot of its start, then batches. */
+    public List<Message> messages(int softBytes) {
+        List<Message> all = new ArrayList<>();
+        all.add(start());
+        for (long cursor = base; cursor < head();) {
+            Batch next = new Batch(cursor + 1, after(cursor, softBytes, Long.MAX_VALUE));
+            all.add(next);
+            cursor += next.changes().size();
+        }
+        return all;
+    }
+
+    /** Takes one of these; in their order they make the same window. */
+    public void take(Message m) {
+        if (m instanceof Snapshot s) {
+            reset(s);
+        } else if (m instanceof Batch b) {
+            for (int i = 0; i < b.changes().size(); i++) {
+                append(new Entry(b.first() + i, b.changes().get(i)));
+            }
+        } else {
+            throw new IllegalArgumentException("no part of a window: " + m);
+        }
+    }
+
     /** All that is held, in order. */
     public List<Entry> entries() {
         return List.copyOf(entries);
--- a/src/main/java/hopglade/stream/wire/StreamServer.java
+++ b/src/main/java/hopglade/stream/wire/StreamServer.java
@@ -28,7 +28,7 @@
  * A control machine's socket: connections in, frames to and from its {@link Publisher}, all on one loop. A connection whose socket takes no
  * more is told to the publisher, which then sends nothing on it; so each holds some ten kilobytes here at most.
  */
-final class StreamServer implements Publisher.Out {
+public final class StreamServer implements Publisher.Out {
 
     static final int LENGTH_BYTES = 4;
     private static final int MOST_FRAME = 1 << 16;
@@ -45,14 +45,15 @@
     private Channel listener;
     private long made;
 
-    StreamServer(EventLoop loop, Publisher publisher, DoubleSupplier nowMs) {
+    /** @param nowMs the clock that the publisher is told */
+    public StreamServer(EventLoop loop, Publisher publisher, DoubleSupplier nowMs) {
         this.loop = loop;
         this.publisher = publisher;
         this.nowMs = nowMs;
     }
 
     /** Takes connections; the address is the one bound, where port 0 was asked for. */
-    InetSocketAddress listen(InetSocketAddress at) throws IOException, InterruptedException {
+    public InetSocketAddress listen(InetSocketAddress at) throws IOException, InterruptedException {
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class).option(ChannelOption.SO_BACKLOG, 1024)
                 .childOption(ChannelOption.TCP_NODELAY, true).childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(LOW_BYTES, HIGH_BYTES))
                 .childHandler(new ChannelInitializer<>() {
@@ -70,8 +71,10 @@
     }
 
     /** On the loop. */
-    void close() {
-        listener.close();
+    public void close() {
+        if (listener != null) {
+            listener.close();
+        }
         Map.copyOf(connections).values().forEach(c -> c.channel.close());
     }
 
--- a/src/main/java/hopglade/stream/wire/package-info.java
+++ b/src/main/java/hopglade/stream/wire/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Carries {@code hopglade.stream} between processes: frames on TCP, one connection a proxy, and a control machine's file. Decides nothing
- * about entries, and nothing of the program loads it yet. Start reading at {@link ControlMachine} and {@link StreamClient}.
+ * Carries {@code hopglade.stream} between a control machine and its proxies: frames on TCP, one connection a proxy. Decides nothing about
+ * entries, and what {@code serve} loads knows nothing of it. Start reading at {@link StreamClient}; {@code hopglade.raft.StreamService} is the other end.
  */
 package hopglade.stream.wire;
--- a/src/test/java/hopglade/HouseRulesTest.java
+++ b/src/test/java/hopglade/HouseRulesTest.java
@@ -70,6 +70,22 @@
                 .dependOnClassesThat().resideInAnyPackage("hopglade.raft..", "hopglade.epoch..", "io.microraft.."));
     }
 
+    @Test
+    void theChangeStreamDecidesWithoutIoAndNothingOfTheProgramLoadsIt() {
+        holds(noClasses().that().resideInAPackage("hopglade.stream").should().dependOnClassesThat().resideInAnyPackage(CLOCKS_SOCKETS_THREADS));
+        holds(noClasses().that().resideInAPackage("hopglade.stream").should().dependOnClassesThat()
+                .resideInAnyPackage("hopglade", "hopglade.stream.wire..", "hopglade.proxy..", "hopglade.raft..", "hopglade.lab..", "hopglade.config..", "hopglade.store..", "io.microraft.."));
+        holds(noClasses().that().resideInAPackage("hopglade.stream").should().callMethod(System.class, "nanoTime")
+                .orShould().callMethod(System.class, "currentTimeMillis"));
+        holds(noClasses().that().resideInAPackage("hopglade.stream.wire..").should()
+                .dependOnClassesThat().resideInAnyPackage("hopglade", "hopglade.proxy..", "hopglade.lab..", "hopglade.cli.."));
+        holds(noClasses().that().resideOutsideOfPackages("hopglade.stream..", "hopglade.raft..", "hopglade.lab..", "hopglade.cli..").should()
+                .dependOnClassesThat().resideInAPackage("hopglade.stream.."));
+        // The policy, where it is on, needs the log alone.
+        holds(noClasses().that().resideInAPackage("hopglade.raft").and().haveNameNotMatching(".*\\.Stream(Log|Service)(\\$.*)?").should()
+                .dependOnClassesThat().resideInAPackage("hopglade.stream.wire.."));
+    }
+
     @Test
     void configurationKnowsNothingOfSocketsOrDecisions() {
         holds(noClasses().that().resideInAPackage("hopglade.config..").should().dependOnClassesThat()
--- a/src/test/java/hopglade/raft/LogFileTest.java
+++ b/src/test/java/hopglade/raft/LogFileTest.java
@@ -3,16 +3,23 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import hopglade.epoch.Epochs;
 import hopglade.epoch.Epochs.Epoch;
 import io.microraft.model.log.LogEntry;
+import io.microraft.model.log.SnapshotChunk;
+import io.microraft.model.log.SnapshotEntry;
 import io.microraft.persistence.RestoredRaftState;
 import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.util.Arrays;
 import java.util.List;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -70,6 +77,100 @@
         assertThrows(IOException.class, () -> LogFile.open(folder), "a vote may be forgotten");
     }
 
+    private static SnapshotChunk chunk(long index, int part, int parts, String content) {
+        return Codec.MODELS.createSnapshotChunkBuilder().setIndex(index).setTerm(4).setOperation(content.getBytes(StandardCharsets.UTF_8)).setSnapshotChunkIndex(part)
+                .setSnapshotChunkCount(parts).setGroupMembersView(Codec.MODELS.createRaftGroupMembersViewBuilder().setLogIndex(0)
+                        .setMembers(List.of(new Endpoint("a"), new Endpoint("b"))).setVotingMembers(List.of(new Endpoint("a"), new Endpoint("b"))).build()).build();
+    }
+
+    private static String content(SnapshotEntry e) {
+        return e == null ? null : ((List<?>) e.getOperation()).stream().map(c -> new String((byte[]) ((SnapshotChunk) c).getOperation(), StandardCharsets.UTF_8))
+                .collect(Collectors.joining());
+    }
+
+    /** Its snapshot, and the indices of the entries after it. */
+    private String kept() throws IOException {
+        try (LogFile file = LogFile.open(folder)) {
+            RestoredRaftState s = file.restored();
+            return content(s.getSnapshotEntry()) + " " + s.getLogEntries().stream().map(LogEntry::getIndex).toList();
+        }
+    }
+
+    @Test
+    void aSnapshotTakesThePlaceOfEntriesAndHalfOfOneDoesNot() throws Exception {
+        written();
+        try (LogFile file = LogFile.open(folder)) {
+            for (long i = 3; i <= 400; i++) {
+                file.persistLogEntries(List.of(entry(i, 4, "x".repeat(100))));
+            }
+            long before = Files.size(folder.resolve("log"));
+            file.persistSnapshotChunk(chunk(390, 0, 2, "one "));
+            file.persistSnapshotChunk(chunk(390, 1, 2, "whole"));
+            file.flush();
+            file.truncateLogEntriesUntil(380);
+            assertTrue(Files.size(folder.resolve("log")) < before / 10, "the file is cut");
+            file.persistLogEntries(List.of(entry(401, 4, "after")));
+            file.persistSnapshotChunk(chunk(395, 0, 2, "half"));
+        }
+        assertEquals("one whole [391, 392, 393, 394, 395, 396, 397, 398, 399, 400, 401]", kept());
+        String[] lines = Files.readString(folder.resolve("log")).split("\n");
+        int chunkAt = (int) Arrays.stream(lines).takeWhile(l -> !l.contains("\"bytes\"")).count();
+        String whole = Files.readString(folder.resolve("log"));
+        Files.writeString(folder.resolve("log"), whole.replaceFirst("\"part\":1", "\"part\":0"));
+        assertTrue(assertThrows(IOException.class, this::kept).getMessage().contains("log:" + (chunkAt + 2) + ": damaged"));
+        Files.writeString(folder.resolve("log"), whole);
+        try (LogFile file = LogFile.open(folder)) {
+            file.deleteSnapshotChunks(395, 2);
+            file.persistSnapshotChunk(chunk(400, 0, 1, "newer"));
+            file.flush();
+            file.truncateLogEntriesUntil(400);
+        }
+        assertEquals("newer [401]", kept());
+    }
+
+    @Test
+    void aSnapshotsLineThatIsCutOffAnywhereLeavesTheOneBefore() throws Exception {
+        written();
+        try (LogFile file = LogFile.open(folder)) {
+            file.persistSnapshotChunk(chunk(1, 0, 1, "old"));
+            file.flush();
+            file.truncateLogEntriesUntil(1);
+            file.persistLogEntries(List.of(entry(3, 4, "three")));
+        }
+        byte[] before = Files.readAllBytes(folder.resolve("log"));
+        try (LogFile file = LogFile.open(folder)) {
+            file.persistSnapshotChunk(chunk(3, 0, 1, "new"));
+        }
+        byte[] after = Files.readAllBytes(folder.resolve("log"));
+        assertEquals("new []", kept());
+        for (int cut = before.length; cut < after.length; cut++) {
+            Files.write(folder.resolve("log"), Arrays.copyOf(after, cut));
+            assertEquals("old [2, 3]", kept(), "cut at " + cut);
+        }
+    }
+
+    @Test
+    void aFullOrClosedDiskIsSaidAndWhatWasKeptStays() throws Exception {
+        written();
+        Path full = Path.of("/dev/full");
+        try (LogFile file = LogFile.open(folder)) {
+            FileChannel sound = file.channel;
+            file.channel = FileChannel.open(full, StandardOpenOption.WRITE);
+            assertTrue(assertThrows(IOException.class, () -> file.persistLogEntries(List.of(entry(3, 4, "lost")))).getMessage().contains("space"));
+            file.channel.close();
+            file.channel = sound;
+            Files.createSymbolicLink(folder.resolve("log.new"), full);
+            assertThrows(IOException.class, () -> file.truncateLogEntriesUntil(1), "there is no room to write it anew");
+            assertThrows(IOException.class, () -> LogFile.open(folder));
+            Files.delete(folder.resolve("log.new"));
+            Files.createDirectory(folder.resolve("log.new"));
+            assertThrows(IOException.class, () -> LogFile.open(folder), "as where the folder is read-only");
+            Files.delete(folder.resolve("log.new"));
+            file.persistLogEntries(List.of(entry(3, 4, "three")));
+        }
+        assertEquals("null [2, 3]", kept());
+    }
+
     @Test
     void theLastEpochIsKeptApart() throws Exception {
         assertNull(LogFile.last(folder));
