Play an experiment at several sizes and keep its slopes: lab slope

Need: docs/CAPACITY.md works figures out from measured slopes, and the laboratory had no way to play one file at several sizes and fit what came of it.

Change: an experiment may hold [sizes] and [[measure]], which a single run leaves aside; `lab slope FILE` plays it at each size on sockets, in virtual time or as the module alone, three times if not said otherwise, and keeps the lines only if every bound held. New figures: connections open at the busiest node and at the origin (virtual time), the origin's fetches in the worst second, bytes of a whole list, and what the module still holds when all requests are over (lab cost prints it too). Values of a key may have up to 2 MB, as the planned fleet answers 1.625 MB on average.

--- a/src/main/java/hopglade/cli/LabCommands.java
+++ b/src/main/java/hopglade/cli/LabCommands.java
@@ -32,8 +32,8 @@
 import picocli.CommandLine.Model.CommandSpec;
 
 @Command(name = "lab", description = "Plays experiments: stand-in machines, real proxies, load, faults and a ledger that judges.",
-        mixinStandardHelpOptions = true, versionProvider = Version.class, synopsisSubcommandLabel = "run|sim|hunt|check|sweep|compare|cost|hollow",
-        subcommands = HollowCommand.class)
+        mixinStandardHelpOptions = true, versionProvider = Version.class, synopsisSubcommandLabel = "run|sim|hunt|check|sweep|compare|cost|hollow|slope",
+        subcommands = {HollowCommand.class, SlopeCommand.class})
 final class LabCommands {
 
     private static final int BAR = 20;
@@ -286,12 +286,13 @@
     int cost(@Option(names = "--nodes", split = ",", paramLabel = "N", defaultValue = "10,100,1000", description = "fleets, as 10,100,1000") List<Integer> nodes,
              @Option(names = "--proxies", split = ",", paramLabel = "N", defaultValue = "3,30,300", description = "numbers of proxies, as 3,30,300") List<Integer> proxies)
             throws BadFileException {
-        System.out.printf("%8s %8s %18s %18s%n", "nodes", "proxies", "CPU us/request", "bytes/request");
+        System.out.printf("%8s %8s %18s %18s %14s%n", "nodes", "proxies", "CPU us/request", "bytes/request", "bytes held");
         for (int p : proxies) {
             for (int n : nodes) {
                 ModuleCost.Cost cost = ModuleCost.measure(ExperimentFile.of(Toml.parse("lab cost",
                         "name = \"cost\"\n[fleet]\nkeys = 100000\nnodes = " + n + "\n[proxies]\ncount = " + p + "\n")));
-                System.out.printf(Locale.ROOT, "%8d %8d %10.2f ± %5.2f %18.0f%n", n, p, cost.cpuUs(), cost.spreadUs(), cost.allocatedBytes());
+                System.out.printf(Locale.ROOT, "%8d %8d %10.2f ± %5.2f %18.0f %14.0f%n", n, p, cost.cpuUs(), cost.spreadUs(),
+                        cost.allocatedBytes(), cost.retainedBytes());
             }
         }
         return Cli.OK;
--- a/src/main/java/hopglade/lab/Experiment.java
+++ b/src/main/java/hopglade/lab/Experiment.java
@@ -11,6 +11,9 @@
                          Discovery discovery, Proxies proxies, Gossip gossip, Policy policy, Load load, Rules rules, Prices prices, List<Fault> faults,
                          List<Expect> expects) {
 
+    /** The longest value of a key, in bytes: a little over what a proxy of the largest fleet planned for answers on average. */
+    public static final int MOST_BYTES = 2_000_000;
+
     /** Cache nodes, those that may take another's place, their zones and the links between them. */
     public record Fleet(int nodes, int spares, List<String> zones, double[] linkMs, double localMs, List<Kind> kinds, double missWorkMs,
                         double handshakeMs, int connections, double errorShare, double ttlS, long keys, double[] bytes,
--- a/src/main/java/hopglade/lab/ExperimentFile.java
+++ b/src/main/java/hopglade/lab/ExperimentFile.java
@@ -89,6 +89,7 @@
         }
         Experiment experiment = new Experiment(name, root.text("about", ""), root.whole("seed", 1, 0, Integer.MAX_VALUE),
                 duration, fleet, origin, discovery, proxies, gossip, policy, load, rules, prices, List.copyOf(faults), List.copyOf(expects));
+        Sizes.read(root);
         root.done();
         return experiment;
     }
@@ -115,7 +116,7 @@
                 t.range("link_ms", new double[] {5.6, 10}, 0, 1000), t.number("local_ms", 0.2, 0, 100), List.copyOf(kinds),
                 t.number("miss_work_ms", 0.5, 0, 1000), t.number("handshake_ms", 0.5, 0, 1000),
                 t.whole("connections", 400, 1, 100_000), t.number("error_share", 0.001, 0, 1), t.number("ttl_s", 120, 0.1, DAY_S),
-                t.whole("keys", 4000, 1, 10_000_000), t.range("bytes", new double[] {300, 6000}, 50, 60_000),
+                t.whole("keys", 4000, 1, 10_000_000), t.range("bytes", new double[] {300, 6000}, 50, Experiment.MOST_BYTES),
                 t.number("kept", 1.2, 0.001, 100));
         t.done();
         return fleet;
--- a/src/main/java/hopglade/lab/report/Figures.java
+++ b/src/main/java/hopglade/lab/report/Figures.java
@@ -16,6 +16,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 import java.util.stream.DoubleStream;
 import org.HdrHistogram.Histogram;
 
@@ -141,6 +142,8 @@
         put("origin.load", share(fetches.stream().mapToDouble(a -> a.workMs).sum() / experiment.durationS(), capacity));
         Map<Integer, Double> bySecond = new HashMap<>();
         fetches.forEach(a -> bySecond.merge((int) (a.lastByteAt / MS_PER_S), a.workMs, Double::sum));
+        put("origin.fetches_peak_per_s", fetches.stream().collect(Collectors.groupingBy(a -> (int) (a.lastByteAt / MS_PER_S), Collectors.counting()))
+                .values().stream().mapToDouble(n -> n).max().orElse(0));
         put("origin.load_peak", bySecond.values().stream().mapToDouble(w -> w).max().orElse(0) / capacity);
         Map<String, Double> byNode = new HashMap<>();
         plan.machines().forEach(n -> byNode.put(n.id(), 0.0));
--- a/src/main/java/hopglade/lab/sockets/Clients.java
+++ b/src/main/java/hopglade/lab/sockets/Clients.java
@@ -48,7 +48,7 @@
  */
 final class Clients implements Machines.Asked {
 
-    private static final int BODY = 64 * 1024 + 1024;
+    private static final int BODY = Experiment.MOST_BYTES + 1024;
     private static final int CONNECT_MS = 1000;
     private static final int REHEARSALS = 24;
     private static final int REHEARSED = 100;
--- a/src/main/java/hopglade/lab/sockets/SocketRun.java
+++ b/src/main/java/hopglade/lab/sockets/SocketRun.java
@@ -239,6 +239,7 @@
             clients.inService(i, true);
         }
         outside.put("proxy.ready_ms_max", slowest);
+        outside.put("discovery.list_bytes", loop.submit((Callable<Double>) () -> (double) discoveries.get(0).whole().toString().length()).sync().getNow());
         clients.rehearse();
     }
 
--- a/src/main/java/hopglade/lab/virtual/ModuleCost.java
+++ b/src/main/java/hopglade/lab/virtual/ModuleCost.java
@@ -14,6 +14,7 @@
 import hopglade.lab.QuietActions;
 import hopglade.lab.world.Installation;
 import java.lang.management.ManagementFactory;
+import java.lang.ref.Reference;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -31,8 +32,17 @@
  */
 public final class ModuleCost extends QuietActions {
 
-    /** CPU time of a request in microseconds, with its standard deviation over blocks, and bytes allocated for it. */
-    public record Cost(double cpuUs, double spreadUs, double allocatedBytes) { }
+    /**
+     * CPU time of a request in microseconds, with its standard deviation over blocks, bytes allocated for it, and the heap in bytes that the
+     * router still holds when all are over: by difference of two collected heaps, so true to some tens of KB.
+     */
+    public record Cost(double cpuUs, double spreadUs, double allocatedBytes, double retainedBytes) {
+
+        /** Its figures by dotted names, as a run has them. */
+        public Map<String, Double> figures() {
+            return Map.of("module.cpu_us", cpuUs, "module.allocated_bytes", allocatedBytes, "module.retained_bytes", retainedBytes);
+        }
+    }
 
     private static final int BLOCK = 20_000;
     private static final int WARM_BLOCKS = 3;
@@ -98,7 +108,16 @@
                 bytes.addValue((threads.getCurrentThreadAllocatedBytes() - allocated) / (double) BLOCK);
             }
         }
-        return new Cost(cpu.getMean(), cpu.getStandardDeviation(), bytes.getMean());
+        double held = collectedHeap();
+        // Without this the router may be collected as soon as its last request is over.
+        Reference.reachabilityFence(cost);
+        cost = null;
+        return new Cost(cpu.getMean(), cpu.getStandardDeviation(), bytes.getMean(), held - collectedHeap());
+    }
+
+    private static double collectedHeap() {
+        System.gc();
+        return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
     }
 
     private void one(long key) {
--- a/src/main/java/hopglade/lab/virtual/VirtualPool.java
+++ b/src/main/java/hopglade/lab/virtual/VirtualPool.java
@@ -68,6 +68,7 @@
         final int places;
         final Map<Integer, Line> lines = new HashMap<>();
         int open;
+        int mostOpen;
 
         Table(int places) {
             this.places = places;
@@ -137,6 +138,19 @@
         return turnedAway;
     }
 
+    /** Closes what is due and notes how many connections each machine has. */
+    void look() {
+        for (Table table : tables.values()) {
+            table.lines.values().forEach(Line::closeAged);
+            table.mostOpen = Math.max(table.mostOpen, table.open);
+        }
+    }
+
+    /** The most connections that a machine had at any look. */
+    int mostOpen(String machine) {
+        return tables.get(machine).mostOpen;
+    }
+
     private long nanos() {
         return (long) (agenda.now() * TimeUnit.MILLISECONDS.toNanos(1));
     }
--- a/src/main/java/hopglade/lab/virtual/VirtualRun.java
+++ b/src/main/java/hopglade/lab/virtual/VirtualRun.java
@@ -277,6 +277,9 @@
 
     private void look(double at) {
         int second = (int) (at / MS_PER_S);
+        if (at % MS_PER_S == 0) {
+            pool.look();
+        }
         for (VirtualProxy p : proxies) {
             if (second < levels.length) {
                 levels[second] = Math.max(levels[second], p.level());
@@ -659,6 +662,8 @@
                 "proxy.backstops", proxies.stream().mapToDouble(VirtualProxy::backstops).sum(),
                 "proxy.timers_left", alive.stream().mapToDouble(VirtualProxy::timers).max().orElse(0),
                 "machines.connections_opened", (double) pool.opened(),
+                "machines.connections_open_max", plan.nodes().stream().mapToDouble(n -> pool.mostOpen(n.id())).max().orElse(0),
+                "origin.connections_open_max", (double) pool.mostOpen(plan.origin().id()),
                 "machines.connections_turned_away", (double) pool.turnedAway()));
         own.putAll(peers.figures(alive, ledger));
         own.putAll(policy.figures());
