--- a/src/main/java/hopglade/cli/LabCommands.java
+++ b/src/main/java/hopglade/cli/LabCommands.java
@@ -32,8 +32,8 @@
 import picocli.CommandLine.Model.CommandSpec;
 
 @Command(name = "lab", description = "Plays experiments: stand-in machines, real proxies, load, faults and a ledger that judges.",
-        mixinStandardHelpOptions = true, versionProvider = Version.class, synopsisSubcommandLabel = "run|sim|hunt|check|sweep|compare|cost|hollow|slope",
-        subcommands = {HollowCommand.class, SlopeCommand.class})
+        mixinStandardHelpOptions = true, versionProvider = Version.class, synopsisSubcommandLabel = "run|sim|hunt|check|sweep|compare|cost|hollow|slope|capacity",
+        subcommands = {HollowCommand.class, SlopeCommand.class, CapacityCommand.class})
 final class LabCommands {
 
     private static final int BAR = 20;
