--- a/src/main/java/hopglade/lab/sockets/ProxyProcess.java
+++ b/src/main/java/hopglade/lab/sockets/ProxyProcess.java
@@ -43,8 +43,8 @@
         void saw(String event, String subject, String evidence);
     }
 
-    /** What a look from outside tells: CPU seconds so far, resident megabytes, open descriptors. */
-    record Usage(double cpuS, double residentMb, int descriptors) { }
+    /** What a look from outside tells: CPU seconds so far, those of them in the system, resident megabytes, open descriptors. */
+    record Usage(double cpuS, double systemS, double residentMb, int descriptors) { }
 
     final String name;
     final InetSocketAddress address;
@@ -215,11 +215,12 @@
         try {
             String stat = Files.readString(Path.of("/proc/" + pid + "/stat"));
             String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
-            double cpu = (Long.parseLong(fields[11]) + Long.parseLong(fields[12])) / TICKS_PER_S;
+            double system = Long.parseLong(fields[12]) / TICKS_PER_S;
+            double cpu = Long.parseLong(fields[11]) / TICKS_PER_S + system;
             double resident = Files.readAllLines(Path.of("/proc/" + pid + "/status")).stream().filter(l -> l.startsWith("VmRSS:"))
                     .mapToDouble(l -> Double.parseDouble(l.replaceAll("[^0-9]", "")) / KB_PER_MB).findFirst().orElse(0);
             try (Stream<Path> open = Files.list(Path.of("/proc/" + pid + "/fd"))) {
-                return new Usage(cpu, resident, (int) open.count());
+                return new Usage(cpu, system, resident, (int) open.count());
             }
         } catch (IOException | RuntimeException e) {
             return null;
--- a/src/main/java/hopglade/lab/sockets/SocketRun.java
+++ b/src/main/java/hopglade/lab/sockets/SocketRun.java
@@ -502,6 +502,8 @@
                 experiment.faults().stream().anyMatch(f -> f.what() == Fault.Kind.HOSTILE) ? faultsEnd + HOSTILE_MS + SETTLE_MS : 0);
         double[] cpu = new double[proxies.size()];
         double[] cpuBefore = new double[proxies.size()];
+        double[] system = new double[proxies.size()];
+        double[] systemBefore = new double[proxies.size()];
         double resident = 0;
         int descriptors = 0;
         while (clock.now() < last) {
@@ -513,7 +515,9 @@
                 if (usage != null) {
                     // What a start costs is none of the requests'; a new life counts from nothing.
                     cpu[i] += clock.now() < 0 ? 0 : Math.max(0, usage.cpuS() - (usage.cpuS() >= cpuBefore[i] ? cpuBefore[i] : 0));
+                    system[i] += clock.now() < 0 ? 0 : Math.max(0, usage.systemS() - (usage.cpuS() >= cpuBefore[i] ? systemBefore[i] : 0));
                     cpuBefore[i] = usage.cpuS();
+                    systemBefore[i] = usage.systemS();
                     resident = Math.max(resident, usage.residentMb());
                     descriptors = Math.max(descriptors, usage.descriptors());
                 }
@@ -538,6 +542,7 @@
             outside.put("gossip.bytes_per_s", proxies.stream().mapToDouble(ProxyProcess::gossipBytesPerS).max().orElse(0));
         }
         outside.put("proxy.cpu_s", java.util.Arrays.stream(cpu).sum());
+        outside.put("proxy.cpu_system_s", java.util.Arrays.stream(system).sum());
         outside.put("proxy.resident_mb_max", resident);
         outside.put("proxy.descriptors_max", (double) descriptors);
     }
