--- a/src/main/java/hopglade/raft/StreamService.java
+++ b/src/main/java/hopglade/raft/StreamService.java
@@ -49,7 +49,7 @@
     public StreamService(Parts parts, Consumer<Everywhere> everywhere) throws IOException {
         this.parts = parts;
         this.everywhere = everywhere;
-        links = new Links(parts.loop(), parts.identity(), parts.controls(), this::received);
+        links = new Links(parts.loop(), parts.identity(), parts.controls(), connection -> { }, this::received);
         file = LogFile.open(parts.folder());
         machine = new ControlMachine(new ControlMachine.Parts(parts.identity().name(), List.copyOf(parts.controls().keySet()), parts.bounds(),
                 new OnLoop(parts.loop()), StreamService::now, parts.seed(), file, file.restored(), parts.snapshotEvery()), this);
