--- a/src/main/java/hopglade/cli/LabCommands.java
+++ b/src/main/java/hopglade/cli/LabCommands.java
@@ -12,6 +12,7 @@
 import hopglade.lab.report.HtmlReport;
 import hopglade.lab.report.Results;
 import hopglade.lab.sockets.SocketRun;
+import hopglade.lab.stream.StreamLoad;
 import hopglade.lab.virtual.ModuleCost;
 import hopglade.lab.virtual.VirtualRun;
 import java.io.IOException;
@@ -32,7 +33,7 @@
 import picocli.CommandLine.Model.CommandSpec;
 
 @Command(name = "lab", description = "Plays experiments: stand-in machines, real proxies, load, faults and a ledger that judges.",
-        mixinStandardHelpOptions = true, versionProvider = Version.class, synopsisSubcommandLabel = "run|sim|hunt|check|sweep|compare|cost|hollow|slope|capacity",
+        mixinStandardHelpOptions = true, versionProvider = Version.class, synopsisSubcommandLabel = "run|sim|hunt|check|sweep|compare|cost|hollow|slope|capacity|stream",
         subcommands = {HollowCommand.class, SlopeCommand.class, CapacityCommand.class})
 final class LabCommands {
 
@@ -138,6 +139,16 @@
         return found.isEmpty() ? Cli.OK : Cli.FAILED;
     }
 
+    @Command(name = "stream", description = "Plays the change stream on loopback: hollow proxies, control machines in processes of their own, one of them killed.",
+            mixinStandardHelpOptions = true, versionProvider = Version.class, exitCodeListHeading = "%nExit codes:%n",
+            exitCodeList = {"0:all bounds hold", "1:some fall short; each is named with figure and bound", "2:a bad file"})
+    int stream(@Parameters(paramLabel = "FILE", description = "the plan, as experiments/capacity/stream-780.toml") Path file,
+            @Option(names = "--set", paramLabel = "KEY=VALUE", description = "another value for a key, as --set fleet.proxies=390") Map<String, String> set,
+            @Option(names = "--out", paramLabel = "DIR", description = "where the control machines' files go (default: target/lab/NAME)") Path out)
+            throws BadFileException, IOException, InterruptedException {
+        return StreamLoad.play(file, set == null ? Map.of() : set, out) ? Cli.OK : Cli.FAILED;
+    }
+
     private void checkRepeat(int repeat) {
         if (repeat < 1 || repeat > 100) {
             throw new ParameterException(spec.commandLine(), "--repeat: found " + repeat + ", allowed is 1 to 100");
