Let each control machine stand for election a tenth of a second after the one before

Not found: which vote failed; there was no log of it. Suspected: with one of four gone three of three have to agree, and all waited the same 125 ms before they stood again.

Change: a quarter of a second, and a tenth more for each by its place in the list. The policy's log keeps its 500 ms.

--- a/src/main/java/hopglade/lab/virtual/VirtualStream.java
+++ b/src/main/java/hopglade/lab/virtual/VirtualStream.java
@@ -471,6 +471,7 @@
         return m.stragglers(m.head());
     }
 
+    /** A control machine begins again with what is on its disk. */
     void start(int server) {
         servers.get(server).start();
     }
--- a/src/main/java/hopglade/raft/RaftLog.java
+++ b/src/main/java/hopglade/raft/RaftLog.java
@@ -23,6 +23,7 @@
     /** A snapshot would be taken at so many entries; changes are refused well before, as none are kept. */
     private static final int MOST_ENTRIES = 20_000;
     private static final int ROOM = 1000;
+    private static final long ELECTION_MS = 500;
     private static final double CONFIRM_EVERY_MS = 500;
 
     private final Voter voter;
@@ -42,7 +43,7 @@
         this.epochs = parts.epochs();
         this.committed = committed;
         voter = new Voter(new Voter.Parts(parts.name(), parts.voters(), parts.executor(), parts.nowMs(), parts.seed(), parts.store(), parts.restored(),
-                MOST_ENTRIES, 1), new Machine(), send);
+                MOST_ENTRIES, 1, ELECTION_MS), new Machine(), send);
     }
 
     public void start() {
--- a/src/main/java/hopglade/raft/StreamLog.java
+++ b/src/main/java/hopglade/raft/StreamLog.java
@@ -29,6 +29,9 @@
     public static final int SNAPSHOT_EVERY = 10_000;
     /** A second of the library's passes in a quarter of one: a leader that falls silent is missed after half a second. */
     private static final int SPEED = 4;
+    /** Of the library's time: a quarter of a second, and each control machine a tenth more than the one before. Three of three have to agree when one is lost, so two who stand at once undo each other. */
+    private static final long ELECTION_MS = 1000;
+    private static final long STEP_MS = 400;
     /** A part of a snapshot stays well below what one frame between control machines may hold. */
     private static final int PART_BYTES = 48 << 10;
     private static final double CONFIRM_EVERY_MS = 200;
@@ -58,7 +61,7 @@
         this.advanced = advanced;
         drawn = new Random(parts.seed()).nextLong() | 1;
         voter = new Voter(new Voter.Parts(parts.name(), parts.voters(), parts.executor(), parts.nowMs(), parts.seed(), parts.store(), parts.restored(),
-                parts.snapshotEvery(), SPEED), new Machine(), send);
+                parts.snapshotEvery(), SPEED, ELECTION_MS + STEP_MS * parts.voters().indexOf(parts.name())), new Machine(), send);
     }
 
     public void start() {
--- a/src/main/java/hopglade/raft/Voter.java
+++ b/src/main/java/hopglade/raft/Voter.java
@@ -33,7 +33,6 @@
 
     private static final long HEARTBEAT_S = 1;
     private static final long SILENT_S = 2;
-    private static final long ELECTION_MS = 500;
     /** A question that has no answer by then is asked again. */
     private static final double UNANSWERED_MS = 2000;
     /** What is asked so that a majority confirms the leader; it is no entry. */
@@ -48,10 +47,10 @@
 
     /**
      * What a voter is made of; {@code nowMs} never runs back, {@code restored} is null where it has never run. The library counts its time-outs
-     * in whole seconds: {@code speed} says how many of them pass for it in one.
+     * in whole seconds: {@code speed} says how many of them pass for it in one, and {@code electionMs} are of these.
      */
     record Parts(String name, List<String> voters, RaftNodeExecutor executor, DoubleSupplier nowMs, long seed, RaftStore store, RestoredRaftState restored,
-                 int snapshotEvery, int speed) { }
+                 int snapshotEvery, int speed, long electionMs) { }
 
     /** For the library's timeouts: the machine's clock may be set, this one may not. */
     private static final class Monotonic extends Clock {
@@ -139,7 +138,7 @@
         this.self = new Endpoint(parts.name());
         this.restoredTerm = parts.restored() == null ? 0 : parts.restored().getTermPersistentState().getTerm();
         RaftConfig config = RaftConfig.newBuilder().setLeaderHeartbeatPeriodSecs(HEARTBEAT_S).setLeaderHeartbeatTimeoutSecs(SILENT_S)
-                .setLeaderElectionTimeoutMillis(ELECTION_MS).setCommitCountToTakeSnapshot(parts.snapshotEvery()).build();
+                .setLeaderElectionTimeoutMillis(parts.electionMs()).setCommitCountToTakeSnapshot(parts.snapshotEvery()).build();
         RaftNode.RaftNodeBuilder builder = RaftNode.newBuilder().setGroupId(Codec.GROUP).setConfig(config)
                 .setExecutor(parts.speed() == 1 ? parts.executor() : new Faster(parts.executor(), parts.speed()))
                 .setTransport(new Wires(send)).setStateMachine(new Entries(machine)).setModelFactory(Codec.MODELS)
