--- a/src/main/java/hopglade/lab/stream/StreamLoad.java
+++ b/src/main/java/hopglade/lab/stream/StreamLoad.java
@@ -175,7 +175,8 @@
                 return;
             }
             if (System.nanoTime() > end) {
-                throw new IOException("nobody keeps " + change + " within " + START_S + " s");
+                throw new IOException("nobody keeps " + change + " within " + START_S + " s; last entries " + Arrays.toString(column(controls, "stat", 2)) + ", who leads "
+                        + Arrays.toString(column(controls, "stat", 3)) + ", killed " + lost);
             }
             leader = (leader + 1) % controls.size();
             if (tries % controls.size() == 0) {
