Measure membership and the policy on up to 780 hollow proxies

Need: slopes of control at a proxy and of a control machine, at the sizes that the target names.

Mended on the way: a bind to 127.100.0.255 was refused here ("Cannot assign requested address"), so that 390 proxies never started; no address ends in 0 or 255 now. A process whose command fails ends: its other threads kept it alive, and the driver waited for the limit.

Run: HollowTest, HouseRulesTest, SlopeTest passed.

--- a/src/main/java/hopglade/cli/HollowCommand.java
+++ b/src/main/java/hopglade/cli/HollowCommand.java
@@ -30,12 +30,15 @@
     @Option(names = "--slopes", paramLabel = "FILE", defaultValue = "experiments/capacity/slopes.toml", description = "where slopes go (default: ${DEFAULT-VALUE})")
     private Path slopes;
 
+    @Option(names = "--kept", description = "plays nothing: bounds and slopes of the results that earlier runs left")
+    private boolean kept;
+
     @Option(names = "--beside", paramLabel = "TEXT", defaultValue = "not said", description = "what else runs on the machine, kept with the slopes")
     private String beside;
 
     @Override
     public Integer call() throws BadFileException, IOException, InterruptedException, KeyException {
         ScaleTest test = new ScaleTest(file, set, beside);
-        return test.play(out == null ? Path.of("target", "lab", test.name()) : out, slopes, System.out) ? Cli.OK : Cli.FAILED;
+        return test.play(out == null ? Path.of("target", "lab", test.name()) : out, slopes, kept, System.out) ? Cli.OK : Cli.FAILED;
     }
 }
--- a/src/main/java/hopglade/lab/hollow/HollowExperiment.java
+++ b/src/main/java/hopglade/lab/hollow/HollowExperiment.java
@@ -3,15 +3,17 @@
 import hopglade.lab.Experiment;
 import hopglade.lab.capacity.Slope;
 import java.util.List;
+import java.util.Map;
 
 /**
  * What a scale test plays: the same at each of several sizes, a few runs each.
  *
  * @param settleS   how long the fleet may take from its start until the measuring begins, which is sooner where it is whole sooner;
  *                  0 measures the start itself
+ * @param calmS     from then until it is measured
  * @param durationS how long is measured
  */
-record HollowExperiment(String file, String name, String about, int seed, double settleS, double durationS, int runs, Fleet fleet, Gossip gossip,
+record HollowExperiment(String file, String name, String about, int seed, double settleS, double calmS, double durationS, int runs, Fleet fleet, Gossip gossip,
                         Policy policy, Links links, List<Fault> faults, List<Measure> slopes, List<Experiment.Expect> expects) {
 
     /** {@code proxies} are the sizes; they share so many processes, control machines have one each. */
@@ -38,6 +40,15 @@
      */
     record Fault(Kind what, double atS, double forS, int control, int count, String from, String to, boolean both) { }
 
-    /** A slope to fit: a figure of the run, and the name, unit and role that it has in the slopes' file. */
-    record Measure(String figure, Slope.Role role, String name, String unit) { }
+    /** A slope to fit: figures of the run, added up and taken so many times, and the name, unit and role that this has in the slopes' file. */
+    record Measure(List<String> figures, double times, Slope.Role role, String name, String unit) {
+
+        boolean in(Map<String, Double> run) {
+            return run.keySet().containsAll(figures);
+        }
+
+        double of(Map<String, Double> run) {
+            return times * figures.stream().mapToDouble(run::get).sum();
+        }
+    }
 }
--- a/src/main/java/hopglade/lab/hollow/HollowFile.java
+++ b/src/main/java/hopglade/lab/hollow/HollowFile.java
@@ -62,7 +62,7 @@
         }
         List<HollowExperiment.Measure> slopes = new ArrayList<>();
         for (Toml.Table t : root.tables("slope")) {
-            slopes.add(new HollowExperiment.Measure(named(t, "figure"), t.choice("role", null, Slope.Role.class), named(t, "name"), named(t, "unit")));
+            slopes.add(new HollowExperiment.Measure(figures(t), t.number("times", 1, 1e-9, 1e9), t.choice("role", null, Slope.Role.class), named(t, "name"), named(t, "unit")));
             t.done();
         }
         List<Experiment.Expect> expects = new ArrayList<>();
@@ -70,12 +70,20 @@
             expects.add(ExperimentFile.expect(t));
         }
         HollowExperiment experiment = new HollowExperiment(file.toString(), name, root.text("about", ""), root.whole("seed", 1, 0, Integer.MAX_VALUE),
-                root.number("settle_s", 20, 0, MOST_S), durationS, root.whole("runs", 1, 1, 10), fleet, gossip, policy, links, List.copyOf(faults),
+                root.number("settle_s", 20, 0, MOST_S), root.number("calm_s", 0, 0, MOST_S), durationS, root.whole("runs", 1, 1, 10), fleet, gossip, policy, links, List.copyOf(faults),
                 List.copyOf(slopes), List.copyOf(expects));
         root.done();
         return experiment;
     }
 
+    private static List<String> figures(Toml.Table t) throws BadFileException {
+        List<String> figures = t.texts("figures", List.of());
+        if (figures.isEmpty()) {
+            throw t.bad("figures", "none", "a list of one or more figures' dotted names");
+        }
+        return figures;
+    }
+
     private static HollowExperiment.Fleet fleet(Toml.Table t) throws BadFileException {
         List<Integer> sizes = t.numbers("proxies", 1, MOST_PROXIES).stream().map(Double::intValue).toList();
         for (int i = 1; i < sizes.size(); i++) {
--- a/src/main/java/hopglade/lab/hollow/HollowProcess.java
+++ b/src/main/java/hopglade/lab/hollow/HollowProcess.java
@@ -59,14 +59,20 @@
     }
 
     /** {@code args} is the file of {@link Planes}. */
-    public static void main(String[] args) throws IOException, InterruptedException, ExecutionException, KeyException {
+    public static void main(String[] args) throws IOException {
         PrintStream answers = System.out;
         // What libraries print must not stand between answers.
         System.setOut(System.err);
         Planes given = new Gson().fromJson(Files.readString(Path.of(args[0])), Planes.class);
         HollowProcess process = new HollowProcess(given);
         process.later.schedule(() -> Runtime.getRuntime().halt(1), (long) (given.limitS() * 1000), TimeUnit.MILLISECONDS);
-        process.serve(answers);
+        try {
+            process.serve(answers);
+        } catch (IOException | InterruptedException | ExecutionException | KeyException e) {
+            // Other threads would keep it alive, and its driver waiting for an answer.
+            e.printStackTrace();
+            Runtime.getRuntime().halt(1);
+        }
         Runtime.getRuntime().halt(0);
     }
 
--- a/src/main/java/hopglade/lab/hollow/HollowRun.java
+++ b/src/main/java/hopglade/lab/hollow/HollowRun.java
@@ -108,7 +108,7 @@
 
     private Child child(int net, int first, int count, long seed) throws IOException {
         return new Child(new Planes(net, first, count, size, experiment.fleet(), experiment.gossip(), experiment.policy(), experiment.links(),
-                folder.toString(), seed, STARTS_S + experiment.settleS() + experiment.durationS() + STARTS_S), folder);
+                folder.toString(), seed, STARTS_S + experiment.settleS() + experiment.calmS() + experiment.durationS() + STARTS_S), folder);
     }
 
     /** Plays it; figures by their dotted names. */
@@ -129,6 +129,7 @@
             }
             double openS = now() - startedS;
             settle(startedS);
+            Thread.sleep((long) (experiment.calmS() * MS_PER_S));
             Map<Child, HollowProcess.Look> before = look();
             CompletableFuture<Void> changes = CompletableFuture.runAsync(this::propose);
             Map<Child, HollowProcess.Look> after = measure(before, startedS);
@@ -280,6 +281,7 @@
             rates(figures, prefix + "policy_sent_bytes_s", role, before, after, HollowProcess.Shown::policySentBytes);
             rates(figures, prefix + "policy_received_bytes_s", role, before, after, HollowProcess.Shown::policyReceivedBytes);
             rates(figures, prefix + "policy_sent_s", role, before, after, HollowProcess.Shown::policySent);
+            rates(figures, prefix + "policy_received_s", role, before, after, HollowProcess.Shown::policyReceived);
             rates(figures, prefix + "sent_bytes_s", role, before, after, HollowRun::sentBytes);
             figures.put(prefix + "connections", stat(role.stream().flatMap(c -> after.get(c).planes().stream()).mapToDouble(HollowProcess.Shown::connections)).getMax());
             int planes = role.stream().mapToInt(c -> c.planes.count()).sum();
--- a/src/main/java/hopglade/lab/hollow/LinkTable.java
+++ b/src/main/java/hopglade/lab/hollow/LinkTable.java
@@ -8,6 +8,9 @@
 /** How what one plane sends another travels: late, lost, or held by a cut, by where the two stand. Used by one thread. */
 final class LinkTable {
 
+    /** In each third number; none ends in 0 or 255, which some machines take for a network's own and give to nobody. */
+    private static final int HOSTS = 250;
+
     private record Cut(String from, String to) { }
 
     private final List<Place> places;
@@ -21,15 +24,15 @@
         this.random = random;
     }
 
-    /** Which plane has an address: its last two numbers say so, from 1 on. */
+    /** Which plane has an address: its last two numbers say so. */
     static int plane(InetSocketAddress address) {
         byte[] ip = address.getAddress().getAddress();
-        return ((ip[2] & 0xff) << 8 | ip[3] & 0xff) - 1;
+        return (ip[2] & 0xff) * HOSTS + (ip[3] & 0xff) - 1;
     }
 
     /** The address of a plane in a network of a run's own, {@code 127.NET.x.y}. */
     static String host(int net, int plane) {
-        return "127." + net + "." + ((plane + 1) >> 8) + "." + ((plane + 1) & 0xff);
+        return "127." + net + "." + plane / HOSTS + "." + (plane % HOSTS + 1);
     }
 
     /** One-way delay between two planes, in ms. */
--- a/src/test/java/hopglade/lab/hollow/HollowTest.java
+++ b/src/test/java/hopglade/lab/hollow/HollowTest.java
@@ -44,7 +44,7 @@
             at_s = 0.5
             for_s = 1.5
             [[slope]]
-            figure = "control.connections"
+            figures = ["control.connections", "proxy.connections"]
             role = "control"
             name = "connections"
             unit = "connections"
@@ -70,11 +70,14 @@
     void aChangeComesEverywhereThoughAControlMachineIsKilled() throws IOException, InterruptedException, BadFileException, KeyException {
         ByteArrayOutputStream told = new ByteArrayOutputStream();
         Path slopes = folder.resolve("slopes.toml");
-        boolean good = test(SMALL).play(folder.resolve("out"), slopes, new PrintStream(told, true));
+        boolean good = test(SMALL).play(folder.resolve("out"), slopes, false, new PrintStream(told, true));
         assertTrue(good, told::toString);
         assertEquals(List.of(4.0, 12.0), SlopeFile.read(slopes).get(0).sizes());
         assertEquals("a build", SlopeFile.read(slopes).get(0).beside());
         assertTrue(SlopeFile.read(slopes).get(0).perUnit() > 0, told::toString);
+        Path again = folder.resolve("again.toml");
+        assertTrue(test(SMALL).play(folder.resolve("out"), again, true, new PrintStream(told, true)));
+        assertEquals(SlopeFile.read(slopes), SlopeFile.read(again));
     }
 
     @Test
@@ -101,6 +104,10 @@
         assertTrue(links.cut(0, 2) && !links.cut(2, 0) && links.loses(0, 2));
         links.heal("region-0", "proxy-2");
         assertTrue(!links.cut(0, 2));
-        assertEquals(300, LinkTable.plane(new java.net.InetSocketAddress(LinkTable.host(70, 300), 1)));
+        for (int plane = 0; plane < 2007; plane++) {
+            String host = LinkTable.host(70, plane);
+            assertEquals(plane, LinkTable.plane(new java.net.InetSocketAddress(host, 1)));
+            assertTrue(!host.endsWith(".0") && !host.endsWith(".255"), host);
+        }
     }
 }
