Ask discovery anew within 1.9 s whatever failed, and let only whole words count as its life

Read in the code, then forced on sockets. Where lists are asked for, a call that nobody answered was given up after 3 s, and the module waits 2 to 6 and then 4 to 12 s after the third and later failures (Decide.nodes, Math.min(8, ...)): a change could stay unheard for 15 s and more after discovery could be reached, and counts as told after 6. Lines at fault on this side: Discovery.Times.ASKED, unanswered, refused (which cancelled the only alarm). Found beside it:

- Bytes without a whole word reset the clock of silence (spoke was called for each piece), so a list that trickles or stalls was not asked for beside it.
A watch speaks by a whole list, a heartbeat or something spoilt now.
- Of four watches that were waited for the oldest went: where lists are pushed that is after 0.6 s, so an agent that is always later was never heard.
The quietest, and those that have begun to speak, stay for 20 that follow.
- A list that can never be read was asked for at the speed of the network (six times in 16 ms); the pause grows now.
- Without a descriptor there is no channel to close: close() threw (a trial with Netty's failed channel: IllegalStateException), which ended the alarm before it was set again, and the watch was never opened any more.

Now a call begins 1.9 s after the last at the latest while nobody speaks, beside the one that is out; with an answer that takes 2 s the worst chain is 3.9 s from "can be reached". Where all is well no call is added, and the module's own call has no effect beside a call or a watch that is well.

--- a/src/main/java/hopglade/proxy/Discovery.java
+++ b/src/main/java/hopglade/proxy/Discovery.java
@@ -4,6 +4,7 @@
 import hopglade.Router.ListKind;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -23,23 +24,25 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
 /**
- * The watch on the list of hosts. Where lists are pushed it is kept up from the start; where discovery is asked, each
- * call of {@link #subscribe} is one try, and the module decides on the next.
+ * The watch on the list of hosts. Where lists are pushed it is kept up from the start. Where discovery is asked the module has the first
+ * call and decides how soon one follows that failed; whatever it decides, this side lets no more than {@link Times#firstWordMs} go by
+ * from one call to the next while nobody speaks, as a change counts as told 6 s after discovery had it and could be reached.
  *
- * <p>One watch is the present one. Those that were opened to follow it are asked beside it, and the first that speaks takes
- * its place: nobody stops listening to one that may still speak. One timer, {@link #alarm}, owns what happens next.
+ * <p>One watch is the present one. Those that were opened to follow it are asked beside it, and the first that says a whole word, a list or a
+ * heartbeat, takes its place: nobody stops listening to one that may still speak. One timer, {@link #alarm}, owns what happens next.
  */
 final class Discovery {
 
     /**
-     * How long a watch may say nothing, how soon another is opened beside one that has not said its first word, and the
-     * longest backoff after one that ended.
+     * How long a watch may say nothing, how soon another is opened beside one that has not said its first word, and the longest that goes
+     * by after the end of one that had spoken, or after something that could not be read.
      */
     record Times(long silentMs, long firstWordMs, long backoffMostMs) {
         /**
@@ -47,14 +50,19 @@
          * is for a new one. The agent that pushes is on this machine and answers at once, at no cost.
          */
         static final Times PUSHED = new Times(4500, 150, 150);
-        /** A service that is asked serves calls in turn, and gives them up after 2 s. */
-        static final Times ASKED = new Times(4500, 3000, 1000);
+        /**
+         * A service that is asked serves calls in turn, and gives them up after 2 s: one that is reached just after a call was lost has
+         * the next within 1.9 s and its answer here within 3.9. Where a watch that had spoken breaks, the module's own call comes before 400 ms.
+         */
+        static final Times ASKED = new Times(4500, 1900, 400);
     }
 
     private static final int CONNECT_TIMEOUT_MS = 1000;
     private static final long FIRST_BACKOFF_MS = 50;
-    /** Watches that may be waited for at once; the oldest goes. */
+    /** Watches that may be waited for at once. */
     private static final int MOST_ASKED = 4;
+    /** For so many that are opened after its last byte the quietest of them stays: an agent that is late is late for each. */
+    private static final int PATIENT_FOR = 20;
 
     private final EventLoop loop;
     private InetSocketAddress address;
@@ -62,9 +70,12 @@
     private final boolean pushed;
     private final Times times;
     private final Runnable heard;
+    private final ChannelFactory<Channel> channels;
     private final Log log = new Log();
     private final ListChanges changes = new ListChanges();
     private final Deque<Watch> asked = new ArrayDeque<>();
+    /** How many watches were opened. */
+    private long opened;
     private Watch present;
     private long heardAt;
     private long version;
@@ -75,12 +86,19 @@
 
     /** {@code heard} runs at every list and heartbeat. */
     Discovery(EventLoop loop, InetSocketAddress address, Proxy proxy, HostList known, boolean pushed, Times times, Runnable heard) {
+        this(loop, address, proxy, known, pushed, times, heard, NioSocketChannel::new);
+    }
+
+    /** For tests: with channels that may fail to be made, as where no descriptor is left. */
+    Discovery(EventLoop loop, InetSocketAddress address, Proxy proxy, HostList known, boolean pushed, Times times, Runnable heard,
+              ChannelFactory<Channel> channels) {
         this.loop = loop;
         this.address = address;
         this.proxy = proxy;
         this.pushed = pushed;
         this.times = times;
         this.heard = heard;
+        this.channels = channels;
         this.version = known == null ? 0 : known.version();
     }
 
@@ -111,13 +129,33 @@
         subscribe();
     }
 
-    /** Asks for a watch from the last version seen; the present one is heard until the new one has spoken. */
+    /** The module's call; without effect while one is out already or the watch is well, as it may come late. */
     void subscribe() {
+        if (asked.isEmpty() && (present == null || missed || quietMs() >= times.silentMs)) {
+            open();
+        }
+    }
+
+    /** Asks for a watch from the last version seen; the present one is heard until the new one has spoken. */
+    private void open() {
         if (asked.size() >= MOST_ASKED) {
-            asked.removeFirst().close();
+            Watch least = leastHopeful();
+            asked.remove(least);
+            least.close();
         }
+        opened++;
+        alarm(times.firstWordMs, this::open);
         asked.addLast(new Watch());
-        alarm(times.firstWordMs, this::unanswered);
+    }
+
+    /** Those that have begun to speak stay as long as the quietest may, and so does the first of those that have not. */
+    private Watch leastHopeful() {
+        List<Watch> quietest = asked.stream().sorted(Comparator.comparingLong(w -> w.openedThen)).toList();
+        List<Watch> mute = quietest.stream().filter(w -> !w.begun).toList();
+        if (mute.isEmpty() || opened - quietest.get(0).openedThen >= PATIENT_FOR) {
+            return quietest.get(0);
+        }
+        return mute.get(Math.min(1, mute.size() - 1));
     }
 
     private void alarm(long ms, Runnable what) {
@@ -127,19 +165,13 @@
         alarm = loop.schedule(what, ms, TimeUnit.MILLISECONDS);
     }
 
-    private void unanswered() {
-        if (pushed) {
-            subscribe();
-        } else {
-            closeAsked();
-            refused();
-        }
+    private long quietMs() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - heardAt);
     }
 
-    /** A watch has spoken: it is the present one from here on, and no other is waited for. */
+    /** A watch has said a whole word: it is the present one from here on, and no other is waited for. */
     private void spoke(Watch watch) {
         heardAt = System.nanoTime();
-        backoffMs = FIRST_BACKOFF_MS;
         if (watch == present && (asked.isEmpty() || missed)) {
             return;
         }
@@ -163,22 +195,33 @@
 
     /** Looks whether the present watch has fallen silent: then it is broken, as missed heartbeats are the only sign of that. */
     private void listen() {
-        long quietMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - heardAt);
+        long quietMs = quietMs();
         if (quietMs < times.silentMs) {
             alarm(times.silentMs - quietMs, this::listen);
             return;
         }
         log.odd("watch_silent", "version", version, "ms", quietMs);
         if (pushed) {
-            subscribe();
+            open();
+        } else {
+            alarm(times.backoffMostMs, this::stillSilent);
+            proxy.discoveryRefused();
+        }
+    }
+
+    /** Asked for anew, unless it was only late. */
+    private void stillSilent() {
+        if (quietMs() < times.silentMs) {
+            listen();
         } else {
-            refused();
+            open();
         }
     }
 
     /** A watch has ended; those that were given up before are of no interest any more. */
     private void ended(Watch watch) {
-        if (watch == present) {
+        boolean had = watch == present;
+        if (had) {
             present = null;
         } else if (!asked.remove(watch)) {
             return;
@@ -189,29 +232,35 @@
             return;
         }
         if (pushed) {
-            alarm(backoffMs, this::subscribe);
-            backoffMs = Math.min(times.backoffMostMs, 2 * backoffMs);
-        } else {
-            refused();
+            againLater();
+            return;
         }
-    }
-
-    private void refused() {
-        if (alarm != null) {
-            alarm.cancel(false);
+        if (had) {
+            alarm(times.backoffMostMs, this::open);
         }
+        // After a call that failed the alarm runs on from its start.
         proxy.discoveryRefused();
     }
 
+    /** The pause grows until a list has been read: one that never can be is not to be asked for without end. */
+    private void againLater() {
+        alarm(backoffMs, this::open);
+        backoffMs = Math.min(pushed ? times.backoffMostMs : times.firstWordMs, 2 * backoffMs);
+    }
+
     /** One connection to discovery. */
     private final class Watch implements JsonObjects.Sink {
+        private final ChannelFuture connecting;
         private final Channel channel;
         private final JsonObjects objects = new JsonObjects(this);
         /** What it was asked to go on from. */
         private final long from = version;
+        /** How many had been opened when its last byte came. */
+        private long openedThen = opened;
+        private boolean begun;
 
         Watch() {
-            ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+            connecting = new Bootstrap().group(loop).channelFactory(channels)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                     .handler(new ChannelInitializer<>() {
                         @Override
@@ -221,20 +270,23 @@
                     }).connect(address);
             channel = connecting.channel();
             channel.closeFuture().addListener(f -> ended(this));
-            connecting.addListener(f -> {
+            connecting.addListener((ChannelFuture f) -> {
                 if (f.isSuccess()) {
                     var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
                             "/discovery/hosts?watch=1&from=" + from);
                     request.headers().set(HttpHeaderNames.HOST, "discovery.internal");
                     channel.writeAndFlush(request);
-                } else {
-                    channel.close();
+                } else if (!loop.isShuttingDown()) {
+                    // Without a descriptor there was no channel, and none that closes.
+                    loop.execute(() -> ended(this));
                 }
             });
         }
 
         void close() {
-            channel.close();
+            if (connecting.cause() == null) {
+                channel.close();
+            }
         }
 
         private boolean counts() {
@@ -248,14 +300,20 @@
             }
             try {
                 HostList list = HostList.parse(JsonParser.parseString(text).getAsJsonObject());
+                spoke(this);
                 if (behindSpoilt) {
                     spoilt();
                 }
                 changes.of(list).forEach(h -> Log.event("list", "version", list.version(), "node", h.node().id(),
                         "availability", h.node().availability(), "dial", h.dial()));
                 proxy.hosts(list.whole() ? ListKind.FULL : ListKind.CHANGES, list);
-                missed &= !list.whole();
+                if (missed && list.whole()) {
+                    missed = false;
+                    closeAsked();
+                    alarm(times.silentMs, Discovery.this::listen);
+                }
                 version = missed ? version : list.version();
+                backoffMs = FIRST_BACKOFF_MS;
                 heard.run();
                 return true;
             } catch (RuntimeException e) {
@@ -267,6 +325,7 @@
         @Override
         public void emptyLine() {
             if (counts()) {
+                spoke(this);
                 heard.run();
             }
         }
@@ -274,10 +333,14 @@
         /** What it should have said is asked for again, from the last that was understood. */
         @Override
         public void spoilt() {
-            if (this == present && !missed) {
+            if (!counts()) {
+                return;
+            }
+            spoke(this);
+            if (!missed) {
                 log.odd("list_spoilt", "version", version);
                 missed = true;
-                subscribe();
+                againLater();
             }
         }
 
@@ -289,7 +352,8 @@
                 if (bad || part.decoderResult().isFailure()) {
                     ctx.close();
                 } else if (part instanceof HttpContent content && content.content().isReadable() && counts()) {
-                    spoke(Watch.this);
+                    openedThen = opened;
+                    begun = true;
                     objects.read(content.content());
                 }
                 if (part instanceof LastHttpContent) {
