--- a/src/test/java/hopglade/proxy/SignalsTest.java
+++ b/src/test/java/hopglade/proxy/SignalsTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedReader;
@@ -26,6 +27,7 @@
 
     private static final int PATIENCE_S = 120;
     private static final int ENDED_BY_TERM = 143;
+    private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
     @TempDir
     private Path temp;
@@ -56,11 +58,16 @@
 
     /** Reads the log up to the first line with an event's name. */
     private void logged(String event) throws IOException {
+        assertTrue(logs(event), event + " was never logged");
+    }
+
+    /** The same; false where the log ends without it. */
+    private boolean logs(String event) throws IOException {
         String line = log.readLine();
         while (line != null && !(line + " ").contains(" " + event + " ")) {
             line = log.readLine();
         }
-        assertTrue(line != null, event + " was never logged");
+        return line != null;
     }
 
     private void signal(String name) throws Exception {
@@ -120,6 +127,94 @@
         }
     }
 
+    /** No client comes: it is ready, asks discovery once, and ends by itself. */
+    @Test
+    @Timeout(PATIENCE_S)
+    void oneThatServesNobodyIsReadyAndEnds() throws Exception {
+        start();
+        Peer.Message watch = site.discovery.next();
+        watch.wire().write(HEAD + chunk(Site.list(8, false)));
+        while (!isUp()) {
+            TimeUnit.MILLISECONDS.sleep(10);
+            watch.wire().write(chunk(""));
+        }
+        signal("TERM");
+        ended();
+        assertNull(site.discovery.next().text(), "its only watch has ended");
+        assertTrue(site.discovery.heardNothing() && site.node.heardNothing());
+    }
+
+    private boolean isUp() {
+        try (Peer.Wire front = Peer.connect(this.front)) {
+            front.write("GET /up HTTP/1.1\r\nHost: s\r\n\r\n");
+            return Site.status(front.read()) == 200;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /**
+     * The end begins right behind the move, and the new address tells of a drain then: what comes on an open connection goes to the node no
+     * more. Where the machine is so busy that the process has ended before, another is started.
+     */
+    @Test
+    @Timeout(PATIENCE_S)
+    void aDrainThatTheNewDiscoveryTellsIsKeptThoughTheEndHasBegun() throws Exception {
+        boolean told = false;
+        while (!told) {
+            start();
+            site.discovery.next().wire().write(HEAD + chunk(""));
+            while (!isUp()) {
+                TimeUnit.MILLISECONDS.sleep(10);
+            }
+            try (Peer next = new Peer(); Peer.Wire held = Peer.connect(front); Peer.Wire open = Peer.connect(front)) {
+                held.write(site.get(Site.LONG_S));
+                Peer.Message out = site.node.next();
+                Path config = temp.resolve("config.json");
+                Files.writeString(config, Files.readString(config).replace(site.discovery.dial(), next.dial()));
+                signal("HUP");
+                signal("TERM");
+                told = tells(next) && logs("list");
+                if (told) {
+                    int status = answered(open);
+                    assertTrue(status == 503 || status == 429 || status == -1, "answered " + status);
+                    assertTrue(site.node.heardNothing(), "a request went to the node that drains");
+                    out.wire().answer(200, "v");
+                    assertTrue(Site.status(held.read()) > 0, "what was in flight has no answer");
+                    ended();
+                    told = status > 0;
+                }
+            }
+            stop();
+        }
+    }
+
+    /** Asks on an open connection; -1 where it has been closed. */
+    private int answered(Peer.Wire open) {
+        try {
+            open.write(site.get(Site.LONG_S));
+            return Site.status(open.read());
+        } catch (IOException e) {
+            return -1;
+        }
+    }
+
+    /** Tells who asks of the drain; false where the process ends without asking. */
+    private boolean tells(Peer discovery) throws Exception {
+        while (process.isAlive() && discovery.heardNothing()) {
+            Thread.onSpinWait();
+        }
+        if (discovery.heardNothing()) {
+            return false;
+        }
+        discovery.next().wire().write(HEAD + chunk(Site.list(1, true, Site.host("c0", site.node.dial(), "draining", 0))));
+        return true;
+    }
+
+    private static String chunk(String line) {
+        return Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n";
+    }
+
     private boolean opens() {
         while (process.isAlive()) {
             try {
