--- a/src/test/java/hopglade/proxy/UnwrittenTest.java
+++ b/src/test/java/hopglade/proxy/UnwrittenTest.java
@@ -125,6 +125,24 @@
         assertEquals("id0", Scripted.next(site.router.gone));
     }
 
+    /** As at a process that is killed right after its accept, before the loop sees the connection: nothing can have run. */
+    @Test
+    void aNodeThatResetsBeforeAnythingIsWrittenHasRunNothing() throws Exception {
+        client.write(site.get(Site.LONG_S));
+        awaitRequest();
+        Held held = Held.atNextRequest(site);
+        try (Peer.Wire other = site.client()) {
+            other.write(site.get(Site.LONG_S));
+            held.entered();
+            Peer.Wire wire = late.open(LATE_MS);
+            wire.socket().setSoLinger(true, 0);
+            wire.close();
+            held.release();
+            assertEquals(Outcome.CONNECT_FAILED, Scripted.next(site.router.ends).outcome());
+        }
+        assertEquals(502, Site.status(client.read()));
+    }
+
     private void awaitRequest() {
         long patience = System.nanoTime() + TimeUnit.SECONDS.toNanos(Peer.PATIENCE_S);
         while (site.router.requests.isEmpty() && System.nanoTime() < patience) {
