--- a/src/main/java/hopglade/Decide.java
+++ b/src/main/java/hopglade/Decide.java
@@ -700,14 +700,12 @@
             NodeView n = caches.get(i);
             double score = n.usable(now) && (!free || 2 * n.inFlight + 1 < n.places())
                     ? -n.share(now) / Math.log(u) : 0;
-            if (score > firstScore && n.admits(now, r, free)) {
-                if (first == null || first.admits(now, r, true)) {
-                    second = first;
-                    secondScore = firstScore;
-                }
+            if (score > firstScore && n.admits(now, r)) {
+                second = first;
+                secondScore = firstScore;
                 first = n;
                 firstScore = score;
-            } else if (score > secondScore && score <= firstScore && n.admits(now, r, true)) {
+            } else if (score > secondScore && score <= firstScore && n.admits(now, r)) {
                 second = n;
                 secondScore = score;
             }
@@ -1112,9 +1110,12 @@
 
         double share(double now) {
             double age = now - coldSince;
+            double coldMs = settings.rules().coldMs();
+            if (age >= coldMs) {
+                return weight;
+            }
             double from = settings.rules().coldFrom();
-            double warmth = from + (1 - from) * Math.max(0, age) / settings.rules().coldMs();
-            return age >= settings.rules().coldMs() ? weight : weight * warmth;
+            return weight * (from + (1 - from) * Math.max(0, age) / coldMs);
         }
 
         /**
@@ -1122,16 +1123,15 @@
          * sent there; this bounds it for what a weight cannot: a key hotter than the node's part of all keys,
          * and a crowd of requests and repeats that the fleet does not answer and that all see a free place at
          * once. A chance and not a count, as counts round up and the balancers are many; drawn from the
-         * request's id, so that waiting buys no second draw. Relief for a crowded node, as its second or as
-         * any free one, goes by no weight: it is cut by the ramp. A key that none of our requests named
-         * may be hot; fewer of those known, less of it goes here. Could harm where keys look hot by luck.
+         * request's id, so that waiting buys no second draw. A key that none of our requests named may still
+         * be hot; fewer of those known, less of it goes here. Could harm where keys look hot by luck.
          */
-        boolean admits(double now, Held r, boolean relief) {
+        boolean admits(double now, Held r) {
             if (now - coldSince >= settings.rules().coldMs()) {
                 return true;
             }
             double due = share(now) / totalShare * r.variants;
-            return r.draw < coldChance * Math.min(1, due / r.heat) * (relief ? share(now) / weight : 1);
+            return r.draw < coldChance * Math.min(1, due / r.heat);
         }
 
         void ended(double now, AttemptEnd end, List<NodeView> peers) {
