--- a/src/main/java/hopglade/lab/sockets/SocketRun.java
+++ b/src/main/java/hopglade/lab/sockets/SocketRun.java
@@ -112,7 +112,8 @@
         this.plan = Draw.installation(experiment);
         this.load = LoadPlan.of(experiment);
         this.levels = new int[(int) Math.ceil(experiment.durationS())];
-        this.world = new World(plan, Draw.limits(experiment, load.meanReadMs()), Draw.generator(experiment.seed(), Draw.Stream.WORLD));
+        this.world = new World(plan, new World.Limits(experiment.rules().coldMultiple(), experiment.rules().coldWindowMs()),
+                Draw.generator(experiment.seed(), Draw.Stream.WORLD));
         this.strikes = new Strikes(world, effects, plan, ledger);
         this.peerLinks = new PeerLinks(experiment.proxies().count(), Draw.generator(experiment.seed(), Draw.Stream.GOSSIP));
         this.policy = new SocketPolicy(experiment, clock, peerLinks, this.directory, clientGroup.next());
--- a/src/main/java/hopglade/lab/virtual/VirtualRun.java
+++ b/src/main/java/hopglade/lab/virtual/VirtualRun.java
@@ -136,11 +136,12 @@
         this.plan = Draw.installation(experiment);
         this.habits = new Habits(experiment);
         this.load = LoadPlan.of(experiment);
-        this.world = new World(plan, Draw.limits(experiment, load.meanReadMs()), Draw.generator(experiment.seed(), Draw.Stream.WORLD));
+        this.world = new World(plan, new World.Limits(experiment.rules().coldMultiple(), experiment.rules().coldWindowMs()),
+                Draw.generator(experiment.seed(), Draw.Stream.WORLD));
         this.strikes = new Strikes(world, acts, plan, ledger);
         this.random = Draw.generator(experiment.seed(), Draw.Stream.CLIENTS);
         this.pool = new VirtualPool(agenda, plan, IDLE_MS, CONNECT_MS, Draw.generator(experiment.seed(), Draw.Stream.POOLS));
-        this.front = Front.of(experiment, plan.proxyZones());
+        this.front = new Front(plan.proxyZones());
         this.hasList = new boolean[experiment.proxies().count()];
         this.noListBefore = new double[experiment.proxies().count()];
         this.cutUntil = new double[plan.zones().size()];
@@ -417,7 +418,7 @@
             boolean origin = node.equals(plan.origin().id());
             // On sockets the request's bytes are there at once, and wait for the link's delay at the machine.
             Attempt attempt = new Attempt(++attempts, request, node, origin, from.index, agenda.now(), agenda.now(),
-                    silent ? 0 : world.weight(agenda.now(), node, job), silent ? 0 : job.workMs());
+                    silent ? 0 : world.weight(agenda.now(), node, job));
             attempt.atColdNode = !origin && world.cold(node, agenda.now());
             ledger.attempt(attempt);
             Out o = new Out(from, request, number, node, attempt, delay, link);
--- a/src/main/java/hopglade/lab/world/World.java
+++ b/src/main/java/hopglade/lab/world/World.java
@@ -118,7 +118,8 @@
         Health health = Health.UP;
         double startedAt = LONG_AGO;
         double weight = 1;
-        ColdWindow cold;
+        final Deque<Arrival> arrivals = new ArrayDeque<>();
+        double arrivedWork;
         double half;
         double spoilt;
         double resets;
@@ -145,8 +146,8 @@
         }
     }
 
-    /** What a cold node may be sent, and whether it falls over when it gets more. */
-    public record Limits(ColdAllowance cold, boolean coldFalls) { }
+    /** What an origin-bound rule needs to know, and how far it may go before a cold node falls. */
+    public record Limits(double fallMultiple, double fallMs) { }
 
     private final Limits limits;
 
@@ -197,9 +198,9 @@
         return unit != null && unit.machine.cold(now);
     }
 
-    /** What a node that has just started may be sent. */
-    public ColdAllowance coldAllowance() {
-        return limits.cold();
+    /** Present capacity in core-milliseconds a millisecond. */
+    public double capacity(String machine, double now) {
+        return units.get(machine).machine.capacity(now);
     }
 
     public boolean alive(String machine) {
@@ -393,12 +394,20 @@
 
     /** Adds what a machine was sent to its budget: a cold node falls over for good, the origin stops for a while. */
     private void weigh(double now, Unit unit, Job job, Effects out) {
+        double work = weight(now, unit.id, job);
         if (unit.origin()) {
-            weighOrigin(now, unit, originWork(job), out);
-        } else if (unit.cold != null && unit.cold.cold(now) && unit.cold.add(now, job.workMs() / limits.cold().meanWorkMs()) > 1
-                && limits.coldFalls()) {
-            out.note(unit.id + " was pushed over while cold");
-            kill(now, unit.id, out);
+            weighOrigin(now, unit, work, out);
+        } else if (unit.machine.cold(now)) {
+            unit.arrivals.add(new Arrival(now, work));
+            unit.arrivedWork += work;
+            while (unit.arrivals.peek().at() < now - limits.fallMs()) {
+                unit.arrivedWork -= unit.arrivals.remove().workMs();
+            }
+            double budget = limits.fallMultiple() * unit.machine.capacity(now) * limits.fallMs();
+            if (limits.fallMultiple() > 0 && unit.arrivedWork > budget) {
+                out.note(unit.id + " was pushed over while cold");
+                kill(now, unit.id, out);
+            }
         }
     }
 
@@ -473,7 +482,8 @@
         if (unit.store != null) {
             unit.store.dropAll();
         }
-        unit.cold = new ColdWindow(limits.cold(), now, unit.machine.fullCapacity());
+        unit.arrivals.clear();
+        unit.arrivedWork = 0;
         unit.alive = true;
         unit.health = Health.UP;
         unit.startedAt = now;
