Read a process's use in one place in the laboratory, and force one turn by one piece in tests

The heap held after a collection was written three times (ModuleCost, hollow and stream processes): ProcessUse now, which was CpuTime. Behaviour is the same. HollowTest, StreamPlanTest, SizesTest, HouseRulesTest, LimitsTest, UnwrittenTest pass (30 tests).

--- a/src/main/java/hopglade/lab/hollow/HollowProcess.java
+++ b/src/main/java/hopglade/lab/hollow/HollowProcess.java
@@ -3,6 +3,7 @@
 import com.google.gson.Gson;
 import com.sun.management.UnixOperatingSystemMXBean;
 import hopglade.gossip.KeyException;
+import hopglade.lab.ProcessUse;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -78,7 +79,7 @@
 
     private void serve(PrintStream answers) throws IOException, InterruptedException, ExecutionException, KeyException {
         loopThread = loop.submit(() -> Thread.currentThread().getId()).get();
-        answers.println(heapBytes());
+        answers.println(ProcessUse.retainedBytes());
         BufferedReader lines = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8));
         for (String line = lines.readLine(); line != null; line = lines.readLine()) {
             answers.println(told(line.split(" ")));
@@ -96,7 +97,7 @@
                 return json.toJson(look());
             }
             case "weigh" -> {
-                return String.valueOf(heapBytes());
+                return String.valueOf(ProcessUse.retainedBytes());
             }
             case "replace" -> replace(planes.get(Integer.parseInt(words[1]) - given.first()));
             case "cut" -> loop.submit(() -> links.cut(words[1], words[2])).sync();
@@ -127,11 +128,6 @@
         }
     }
 
-    private static long heapBytes() {
-        System.gc();
-        return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
-    }
-
     private Look look() throws InterruptedException, ExecutionException {
         long asked = System.nanoTime();
         return loop.submit(() -> {
--- a/src/main/java/hopglade/lab/stream/HollowControl.java
+++ b/src/main/java/hopglade/lab/stream/HollowControl.java
@@ -1,6 +1,7 @@
 package hopglade.lab.stream;
 
 import hopglade.gossip.KeyRing;
+import hopglade.lab.ProcessUse;
 import hopglade.raft.ControlMachine;
 import hopglade.raft.StreamLog;
 import hopglade.raft.StreamService;
@@ -39,8 +40,8 @@
     private CompletableFuture<String> answer(String asked) {
         String[] words = asked.split(" ");
         return switch (words[0]) {
-            case "stat" -> CompletableFuture.completedFuture("stat " + CpuTime.processMs() + " " + machine.publisher().readers() + " " + machine.head() + " " + (machine.leads() ? 1 : 0));
-            case "heap" -> CompletableFuture.completedFuture("heap " + CpuTime.retainedBytes());
+            case "stat" -> CompletableFuture.completedFuture("stat " + ProcessUse.cpuMs() + " " + machine.publisher().readers() + " " + machine.head() + " " + (machine.leads() ? 1 : 0));
+            case "heap" -> CompletableFuture.completedFuture("heap " + ProcessUse.retainedBytes());
             case "everywhere" -> CompletableFuture.completedFuture("everywhere " + everywhere.getTotalCount() + " " + everywhere.getValueAtPercentile(50) + " "
                     + everywhere.getValueAtPercentile(99) + " " + everywhere.getValueAtPercentile(99.9) + " " + everywhere.getMaxValue());
             case "purge" -> publish(new Change.Purge(words[1], false));
--- a/src/main/java/hopglade/lab/stream/HollowProxies.java
+++ b/src/main/java/hopglade/lab/stream/HollowProxies.java
@@ -1,5 +1,6 @@
 package hopglade.lab.stream;
 
+import hopglade.lab.ProcessUse;
 import hopglade.stream.Entry;
 import hopglade.stream.Message.Snapshot;
 import hopglade.stream.Subscriber;
@@ -82,9 +83,9 @@
     private String answer(String asked) {
         return switch (asked) {
             case "count" -> "count " + proxies.stream().filter(p -> p.began && p.subscriber.server() != null).count();
-            case "stat" -> "stat " + CpuTime.processMs() + " " + proxies.stream().mapToLong(p -> p.client.bytesIn()).sum() + " "
+            case "stat" -> "stat " + ProcessUse.cpuMs() + " " + proxies.stream().mapToLong(p -> p.client.bytesIn()).sum() + " "
                     + proxies.stream().mapToLong(p -> p.client.bytesOut()).sum() + " " + resets + " " + moves;
-            case "heap" -> "heap " + CpuTime.retainedBytes();
+            case "heap" -> "heap " + ProcessUse.retainedBytes();
             case "marks" -> {
                 StringBuilder all = new StringBuilder("marks");
                 marks.forEach((seq, m) -> all.append(' ').append(seq).append(':').append(m.count()).append(':').append(m.last()));
--- a/src/main/java/hopglade/lab/virtual/ModuleCost.java
+++ b/src/main/java/hopglade/lab/virtual/ModuleCost.java
@@ -10,6 +10,7 @@
 import hopglade.Router.Settings;
 import hopglade.lab.Draw;
 import hopglade.lab.Experiment;
+import hopglade.lab.ProcessUse;
 import hopglade.lab.ProxySettings;
 import hopglade.lab.QuietActions;
 import hopglade.lab.world.Installation;
@@ -108,16 +109,11 @@
                 bytes.addValue((threads.getCurrentThreadAllocatedBytes() - allocated) / (double) BLOCK);
             }
         }
-        double held = collectedHeap();
+        double held = ProcessUse.retainedBytes();
         // Without this the router may be collected as soon as its last request is over.
         Reference.reachabilityFence(cost);
         cost = null;
-        return new Cost(cpu.getMean(), cpu.getStandardDeviation(), bytes.getMean(), held - collectedHeap());
-    }
-
-    private static double collectedHeap() {
-        System.gc();
-        return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
+        return new Cost(cpu.getMean(), cpu.getStandardDeviation(), bytes.getMean(), held - ProcessUse.retainedBytes());
     }
 
     private void one(long key) {
--- a/src/test/java/hopglade/proxy/UnwrittenTest.java
+++ b/src/test/java/hopglade/proxy/UnwrittenTest.java
@@ -111,23 +111,26 @@
     /** The connection is up and the client's end has come when the loop goes on: the end is read before anything is written. */
     @Test
     void aClientsEndThatComesWithTheConnectionIsSeenFirst() throws Exception {
-        client.write(site.get(Site.LONG_S));
-        awaitRequest();
-        Held held = Held.atNextRequest(site);
-        try (Peer.Wire other = site.client()) {
-            other.write(site.get(Site.LONG_S));
-            held.entered();
-            Peer.Wire wire = late.open(LATE_MS);
-            client.close();
-            held.release();
-            assertNull(wire.read(), "it was sent on");
-        }
+        inOneTurn(wire -> client.close(), wire -> assertNull(wire.read(), "it was sent on"));
         assertEquals("id0", Scripted.next(site.router.gone));
     }
 
     /** As at a process that is killed right after its accept, before the loop sees the connection: nothing can have run. */
     @Test
     void aNodeThatResetsBeforeAnythingIsWrittenHasRunNothing() throws Exception {
+        inOneTurn(wire -> {
+            wire.socket().setSoLinger(true, 0);
+            wire.close();
+        }, wire -> assertEquals(Outcome.CONNECT_FAILED, Scripted.next(site.router.ends).outcome()));
+        assertEquals(502, Site.status(client.read()));
+    }
+
+    private interface OnWire {
+        void run(Peer.Wire wire) throws Exception;
+    }
+
+    /** Asks, and has the node's connection come up and {@code meanwhile} happen before the loop, which is held, looks at either. */
+    private void inOneTurn(OnWire meanwhile, OnWire afterwards) throws Exception {
         client.write(site.get(Site.LONG_S));
         awaitRequest();
         Held held = Held.atNextRequest(site);
@@ -135,12 +138,10 @@
             other.write(site.get(Site.LONG_S));
             held.entered();
             Peer.Wire wire = late.open(LATE_MS);
-            wire.socket().setSoLinger(true, 0);
-            wire.close();
+            meanwhile.run(wire);
             held.release();
-            assertEquals(Outcome.CONNECT_FAILED, Scripted.next(site.router.ends).outcome());
+            afterwards.run(wire);
         }
-        assertEquals(502, Site.status(client.read()));
     }
 
     private void awaitRequest() {
