Review: case 2 counts writes that are confirmed and never run

Cause: with a second answer 1 to 9 ms late a streamed write is answered 200 before its last byte is written, and the connection to the origin is then closed. Change: a quarter of the requests of case 2 are writes of 500 kB, and the test checks that a write that was answered 200 has come to the origin whole.

--- a/review/src/SecondAnswers.java
+++ b/review/src/SecondAnswers.java
@@ -4,12 +4,15 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * Cache nodes and the origin send one answer in ten a second time, some milliseconds later. Each
- * answer 200 that a client gets must be the one that was given for its request.
+ * answer 200 that a client gets must be the one that was given for its request, and a write that is
+ * answered 200 must have run.
  */
 final class SecondAnswers {
 
@@ -17,11 +20,12 @@
     private static final int CLIENTS = 24;
     private static final int KEYS = 400;
     private static final double PLAY_MS = 30_000;
-    private static final double MEAN_PAUSE_MS = 140;
+    private static final double MEAN_PAUSE_MS = 100;
     private static final double SECOND_SHARE = 0.1;
     private static final double SECOND_AFTER_MIN_MS = 1;
     private static final double SECOND_AFTER_MAX_MS = 9;
-    private static final double WRITE_SHARE = 0.05;
+    private static final double WRITE_SHARE = 0.25;
+    private static final int WRITE_BYTES = 500_000;
 
     private static final AtomicLong ANSWERS = new AtomicLong();
     private static final AtomicLong SECONDS = new AtomicLong();
@@ -30,6 +34,12 @@
     private static final AtomicLong FOREIGN_WRITES = new AtomicLong();
     private static final AtomicLong NOT_SERVED = new AtomicLong();
 
+    /** The ids of the writes whose last byte has come to the origin. */
+    private static final Set<String> RUN = ConcurrentHashMap.newKeySet();
+
+    /** The ids of the writes that were answered 200. */
+    private static final Set<String> CONFIRMED = ConcurrentHashMap.newKeySet();
+
     private SecondAnswers() {}
 
     private static String value(String path, String id) {
@@ -39,6 +49,9 @@
     private static void serve(Stand.Node node, Socket socket, Stand.Message request)
             throws IOException {
         String id = request.header("x-call-id");
+        if (request.method().equals("PUT")) {
+            RUN.add(id);
+        }
         Stand.sleep(ThreadLocalRandom.current().nextDouble(5, 25));
         byte[] answer =
                 Stand.response(
@@ -81,11 +94,14 @@
                 client = client == null ? new Stand.Client(proxy.port) : client;
                 client.send(
                         write
-                                ? Stand.put("bill-plan", key, id, 1000, Stand.text("plan"))
+                                ? Stand.put("bill-plan", key, id, 1000, new byte[WRITE_BYTES])
                                 : Stand.get(key, id, 1200));
                 Stand.Message answer = client.receive(2000);
                 closes = answer.header("connection").equalsIgnoreCase("close");
                 String body = new String(answer.body, java.nio.charset.StandardCharsets.UTF_8);
+                if (write && answer.status() == 200) {
+                    CONFIRMED.add(id);
+                }
                 if (answer.status() != 200) {
                     NOT_SERVED.incrementAndGet();
                 } else if (body.equals(value("/api/" + key, id))) {
@@ -135,6 +151,10 @@
         Stand.Record.say(
                 "answered 200 with another request's answer: reads " + FOREIGN_READS
                         + ", writes " + FOREIGN_WRITES);
+        Stand.sleep(2000);
+        CONFIRMED.removeAll(RUN);
+        CONFIRMED.forEach(id -> Stand.Record.line("NEVER RUN, though answered 200: PUT " + id));
+        Stand.Record.say("writes answered 200 that never ran: " + CONFIRMED.size());
         boolean broken = FOREIGN_READS.get() + FOREIGN_WRITES.get() > 0;
         Stand.Record.say(
                 broken ? "RULE BROKEN: served with an answer made for another request" : "rule held");
