--- a/review/src/SlowBodies.java
+++ b/review/src/SlowBodies.java
@@ -14,12 +14,12 @@
  */
 final class SlowBodies {
 
-    private static final int WRITERS = 300;
+    private static final int WRITERS = 192;
     private static final int READERS = 8;
     private static final int BODY_BYTES = 64_000;
-    private static final int PIECE_BYTES = 1400;
+    private static final int PIECE_BYTES = 1100;
     private static final double BYTES_PER_MS = 64;
-    private static final double START_SPREAD_MS = 4000;
+    private static final double START_SPREAD_MS = 2000;
     private static final double PLAY_MS = 20_000;
     private static final double READ_BUDGET_MS = 1200;
     private static final double WRITE_BUDGET_MS = 1000;
@@ -174,7 +174,7 @@
         nodes.add(new Stand.Node("origin-0", "origin", "bogota-1", SlowBodies::serve));
         Stand.Agent agent = new Stand.Agent(nodes);
         Stand.Proxy proxy = new Stand.Proxy("n1", Path.of(args[1]).resolve("n1"));
-        proxy.configure(agent, Stand.settings(), 192, 1024, false);
+        proxy.configure(agent, Stand.settings(), 152, 608, false);
         proxy.start();
         proxy.awaitReady();
         Stand.Record.say(
