Review: a play that cannot run exits with 2, not as a broken rule

Cause: Java exits with 1 after an exception or a missing class, which read as a broken rule. Change: the tests exit with 10, 11 or 12, and run.sh makes 0, 1 and 2 of them, 2 of all else.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -4,9 +4,8 @@
 work=$(mktemp -d) || exit 2
 trap 'rm -rf "$work"' EXIT
 timeout 110 java -Xmx512m -Droot="$(cd ../.. && pwd)" -cp ../build SlowBodies . "$work"
-code=$?
-case $code in
-    0 | 1) ;;
-    *) code=2 ;;
+case $? in
+    10) exit 0 ;;
+    11) exit 1 ;;
+    *) exit 2 ;;
 esac
-exit $code
--- a/review/src/SecondAnswers.java
+++ b/review/src/SecondAnswers.java
@@ -158,6 +158,7 @@
         boolean broken = FOREIGN_READS.get() + FOREIGN_WRITES.get() > 0;
         Stand.Record.say(
                 broken ? "RULE BROKEN: served with an answer made for another request" : "rule held");
-        Stand.finish(broken ? 1 : OWN.get() == 0 ? 2 : 0);
+        Stand.finish(
+                broken ? Stand.BROKEN : OWN.get() == 0 ? Stand.COULD_NOT_RUN : Stand.HELD);
     }
 }
--- a/review/src/SlowAnswers.java
+++ b/review/src/SlowAnswers.java
@@ -127,6 +127,7 @@
         // No client leaves before its answer has ended, so each cut is the proxy's own.
         boolean broken = CUT.get() > 0;
         Stand.Record.say(broken ? "RULE BROKEN: long answers cut off" : "rule held");
-        Stand.finish(broken ? 1 : WHOLE.get() == 0 ? 2 : 0);
+        Stand.finish(
+                broken ? Stand.BROKEN : WHOLE.get() == 0 ? Stand.COULD_NOT_RUN : Stand.HELD);
     }
 }
--- a/review/src/SlowBodies.java
+++ b/review/src/SlowBodies.java
@@ -215,6 +215,7 @@
                         + (proxy.process.isAlive() ? "alive" : "ended"));
         boolean lost = LOST_READS.get() + LOST_WRITES.get() > 0;
         Stand.Record.say(lost ? "RULE BROKEN: lost requests" : "rule held");
-        Stand.finish(lost ? 1 : 0);
+        Stand.finish(
+                lost ? Stand.BROKEN : SERVED.get() == 0 ? Stand.COULD_NOT_RUN : Stand.HELD);
     }
 }
--- a/review/src/Stand.java
+++ b/review/src/Stand.java
@@ -412,6 +412,7 @@
         final Path directory;
         final int port;
         final int adminPort;
+        private String discovery;
         Process process;
 
         Proxy(String name, Path directory) throws IOException {
@@ -423,6 +424,7 @@
 
         void configure(Agent agent, String settings, int memoryMb, int sockets, boolean admin)
                 throws IOException {
+            discovery = agent.address();
             Path fresh = directory.resolve("config.new");
             Files.writeString(
                     fresh,
@@ -452,6 +454,8 @@
             Path temporary = directory.resolve("tmp");
             Files.createDirectories(temporary);
             builder.environment().put("BALANCER_NAME", name);
+            builder.environment().put("BALANCER_LISTEN", "127.0.0.1:" + port);
+            builder.environment().put("BALANCER_DISCOVERY", discovery);
             builder.environment()
                     .put("BALANCER_CONFIG", directory.resolve("config.json").toString());
             builder.environment().put("TMPDIR", temporary.toString());
@@ -572,6 +576,12 @@
         return all;
     }
 
+    /** Exit codes of a play; any other one, as of an exception, means that it could not run. */
+    static final int HELD = 10;
+
+    static final int BROKEN = 11;
+    static final int COULD_NOT_RUN = 12;
+
     /** Ends all processes that the test started, and the test. */
     static void finish(int code) {
         Proxy.killAll();
