--- a/src/main/java/cacheproxy/proxy/ClientServer.java
+++ b/src/main/java/cacheproxy/proxy/ClientServer.java
@@ -6,8 +6,6 @@
 import cacheproxy.Router.Settings;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -133,6 +131,7 @@
     private final EventLoop loop;
     private final Proxy proxy;
     private final int maxConnections;
+    private final BodyMemory bodyMemory;
     private final Map<String, ServiceClass> classes = new HashMap<>();
     private final Set<Connection> connections = new LinkedHashSet<>();
     private final Log log = new Log();
@@ -157,10 +156,21 @@
 
     private boolean stopped;
 
-    ClientServer(EventLoop loop, Proxy proxy, Settings settings, int maxConnections) {
+    /**
+     * Creates a server that does not listen yet.
+     *
+     * @param bodyMemory memory for requests that are aggregated
+     */
+    ClientServer(
+            EventLoop loop,
+            Proxy proxy,
+            Settings settings,
+            int maxConnections,
+            BodyMemory bodyMemory) {
         this.loop = loop;
         this.proxy = proxy;
         this.maxConnections = maxConnections;
+        this.bodyMemory = bodyMemory;
         settings.classes().forEach(c -> classes.put(c.name(), c));
     }
 
@@ -210,7 +220,7 @@
                                                 connection.byteHandler,
                                                 connection.decoder,
                                                 new HttpResponseEncoder(),
-                                                new RequestAggregator(),
+                                                new RequestAggregator(bodyMemory),
                                                 connection);
                                 enforceConnectionLimits();
                                 connections.add(connection);
@@ -398,6 +408,10 @@
 
     /** Aggregates requests. A body that exceeds the size limit raises an exception. */
     private static final class RequestAggregator extends MessageAggregator {
+        RequestAggregator(BodyMemory memory) {
+            super(memory);
+        }
+
         @Override
         void headAccepted(ChannelHandlerContext ctx, HttpMessage message) {
             if (HttpUtil.is100ContinueExpected(message)) {
@@ -410,7 +424,7 @@
         }
 
         @Override
-        FullHttpMessage aggregate(HttpMessage head, CompositeByteBuf body) {
+        FullHttpMessage aggregate(HttpMessage head, ByteBuf body) {
             HttpRequest request = (HttpRequest) head;
             return new DefaultFullHttpRequest(
                     request.protocolVersion(),
@@ -770,10 +784,10 @@
             enterPhase(Phase.PROCESSING);
             hadValidRequest = true;
             openRequestId = id;
-            byte[] body =
+            ByteBuf body =
                     httpRequest instanceof FullHttpRequest fullRequest
-                            ? ByteBufUtil.getBytes(fullRequest.content())
-                            : new byte[0];
+                            ? fullRequest.content().retain()
+                            : Unpooled.EMPTY_BUFFER;
             proxy.requestReceived(
                     request,
                     new Proxy.Payload(
--- a/src/main/java/cacheproxy/proxy/MessageAggregator.java
+++ b/src/main/java/cacheproxy/proxy/MessageAggregator.java
@@ -1,6 +1,6 @@
 package cacheproxy.proxy;
 
-import io.netty.buffer.CompositeByteBuf;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -17,7 +17,8 @@
 /**
  * Aggregates messages of up to 64 KiB and passes each on as one full message. Of a longer message
  * it passes on the head as soon as the length is known to exceed that, and then the content as it
- * arrives; so a connection never buffers more than those 64 KiB.
+ * arrives; so a connection never buffers more than those 64 KiB. A shorter message is passed on in
+ * the same way if the memory that all connections share has no room for its body.
  */
 abstract class MessageAggregator extends ChannelInboundHandlerAdapter {
 
@@ -27,14 +28,9 @@
     /** Largest message that is accepted: responses and uploads may have 32 MB. */
     static final long MAX_MESSAGE_BYTES = 33L << 20;
 
-    /**
-     * Buffers that are kept before they are merged: each may retain a whole read buffer, however
-     * few bytes it has.
-     */
-    private static final int MAX_COMPONENTS = 64;
-
+    private final BodyMemory memory;
     private HttpMessage head;
-    private CompositeByteBuf body;
+    private ByteBuf body = Unpooled.EMPTY_BUFFER;
     private long receivedBytes;
 
     /** Whether the message is passed on as it arrives. */
@@ -43,8 +39,12 @@
     /** Whether the rest of the message is discarded because it was rejected. */
     private boolean discarding;
 
+    MessageAggregator(BodyMemory memory) {
+        this.memory = memory;
+    }
+
     /** Combines a message head and its body into one full message. */
-    abstract FullHttpMessage aggregate(HttpMessage head, CompositeByteBuf body);
+    abstract FullHttpMessage aggregate(HttpMessage head, ByteBuf body);
 
     /** Called when a valid head was read and the body may follow. */
     void headAccepted(ChannelHandlerContext ctx, HttpMessage message) {}
@@ -67,15 +67,13 @@
         discarding = message.decoderResult().isFailure() || length > MAX_MESSAGE_BYTES;
         streaming = !discarding && length > MAX_AGGREGATED_BYTES;
         if (message.decoderResult().isFailure()) {
-            fireAggregated(ctx, Unpooled.compositeBuffer());
+            fireAggregated(ctx, Unpooled.EMPTY_BUFFER);
         } else if (discarding) {
             fireTooLong(ctx);
         } else {
             headAccepted(ctx, message);
             if (streaming) {
                 ctx.fireChannelRead(message);
-            } else {
-                body = Unpooled.compositeBuffer(MAX_COMPONENTS);
             }
         }
     }
@@ -93,7 +91,7 @@
         }
     }
 
-    private void fireAggregated(ChannelHandlerContext ctx, CompositeByteBuf content) {
+    private void fireAggregated(ChannelHandlerContext ctx, ByteBuf content) {
         FullHttpMessage aggregated = aggregate(head, content);
         aggregated.setDecoderResult(head.decoderResult());
         ctx.fireChannelRead(aggregated);
@@ -124,23 +122,33 @@
             head.setDecoderResult(part.decoderResult());
             fireAggregated(ctx, detachBody());
             part.release();
-        } else if (receivedBytes > MAX_AGGREGATED_BYTES) {
-            streaming = true;
-            CompositeByteBuf first = detachBody();
-            ctx.fireChannelRead(head);
-            ctx.fireChannelRead(new DefaultHttpContent(first));
+        } else if (receivedBytes > MAX_AGGREGATED_BYTES || !append(part.content())) {
+            startStreaming(ctx);
             ctx.fireChannelRead(part);
         } else {
-            body.addComponent(true, part.content());
+            part.release();
             if (part instanceof LastHttpContent) {
                 fireAggregated(ctx, detachBody());
             }
         }
     }
 
-    private CompositeByteBuf detachBody() {
-        CompositeByteBuf detached = body;
-        body = null;
+    private boolean append(ByteBuf content) {
+        ByteBuf appended = memory.append(body, content, MAX_AGGREGATED_BYTES);
+        body = appended == null ? body : appended;
+        return appended != null;
+    }
+
+    /** Passes on what has arrived of the message; the rest is passed on as it arrives. */
+    private void startStreaming(ChannelHandlerContext ctx) {
+        streaming = true;
+        ctx.fireChannelRead(head);
+        ctx.fireChannelRead(new DefaultHttpContent(detachBody()));
+    }
+
+    private ByteBuf detachBody() {
+        ByteBuf detached = body;
+        body = Unpooled.EMPTY_BUFFER;
         return detached;
     }
 
--- a/src/main/java/cacheproxy/proxy/NodePool.java
+++ b/src/main/java/cacheproxy/proxy/NodePool.java
@@ -5,7 +5,6 @@
 import cacheproxy.Router.ServiceClass;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -93,6 +92,7 @@
     private final double idleTimeoutMs;
     private final int connectTimeoutMs;
     private final int maxConnections;
+    private final BodyMemory bodyMemory;
     private final Map<String, Target> targets = new HashMap<>();
     private final Deque<Connection> pausing = new ArrayDeque<>();
     private final IdleTimeoutEstimator idleTimeouts = new IdleTimeoutEstimator();
@@ -109,6 +109,7 @@
             double connectTimeoutMs,
             double idleTimeoutMs,
             int maxConnections,
+            BodyMemory bodyMemory,
             long seed) {
         this(
                 loop,
@@ -116,6 +117,7 @@
                 connectTimeoutMs,
                 idleTimeoutMs,
                 maxConnections,
+                bodyMemory,
                 seed,
                 System::nanoTime);
     }
@@ -123,6 +125,7 @@
     /**
      * Creates a pool with a given clock.
      *
+     * @param bodyMemory memory for responses that are aggregated
      * @param seed seed of the random spread of the back-off pauses
      * @param nanoClock clock for idle times and pauses, in nanoseconds
      */
@@ -132,6 +135,7 @@
             double connectTimeoutMs,
             double idleTimeoutMs,
             int maxConnections,
+            BodyMemory bodyMemory,
             long seed,
             LongSupplier nanoClock) {
         this(
@@ -140,6 +144,7 @@
                 connectTimeoutMs,
                 idleTimeoutMs,
                 maxConnections,
+                bodyMemory,
                 seed,
                 nanoClock);
     }
@@ -151,6 +156,7 @@
             double connectTimeoutMs,
             double idleTimeoutMs,
             int maxConnections,
+            BodyMemory bodyMemory,
             long seed,
             LongSupplier nanoClock) {
         this.loop = loop;
@@ -158,6 +164,7 @@
         this.random = new SplittableRandom(seed);
         this.idleTimeoutMs = idleTimeoutMs * IDLE_TIMEOUT_FRACTION;
         this.maxConnections = maxConnections;
+        this.bodyMemory = bodyMemory;
         this.connectTimeoutMs = Math.max(1, (int) connectTimeoutMs);
         this.bootstrap =
                 baseBootstrap.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, this.connectTimeoutMs);
@@ -428,7 +435,7 @@
                                                         new HttpRequestEncoder(),
                                                         connection.byteHandler,
                                                         connection.decoder,
-                                                        new ResponseAggregator(),
+                                                        new ResponseAggregator(bodyMemory),
                                                         connection);
                                     }
                                 })
@@ -911,8 +918,12 @@
 
     /** Aggregates responses; one that exceeds the maximum length is treated as invalid. */
     private static final class ResponseAggregator extends MessageAggregator {
+        ResponseAggregator(BodyMemory memory) {
+            super(memory);
+        }
+
         @Override
-        FullHttpMessage aggregate(HttpMessage head, CompositeByteBuf body) {
+        FullHttpMessage aggregate(HttpMessage head, ByteBuf body) {
             HttpResponse response = (HttpResponse) head;
             return new DefaultFullHttpResponse(
                     response.protocolVersion(),
--- a/src/main/java/cacheproxy/proxy/Proxy.java
+++ b/src/main/java/cacheproxy/proxy/Proxy.java
@@ -7,7 +7,7 @@
 import cacheproxy.Router.Outcome;
 import cacheproxy.Router.Request;
 import cacheproxy.Router.Settings;
-import io.netty.buffer.Unpooled;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpRequest;
@@ -91,7 +91,7 @@
     /**
      * A request as it is forwarded to nodes.
      *
-     * @param body the complete body; empty if the body is too long to be aggregated
+     * @param body the complete body; empty if the body is streamed
      * @param key the idempotency key, or null
      * @param contentType the content type, or null
      * @param upload the streamed body, or null if {@code body} is complete
@@ -100,11 +100,17 @@
     record Payload(
             HttpMethod method,
             String uri,
-            byte[] body,
+            ByteBuf body,
             String key,
             String contentType,
             Upload upload,
-            long length) {}
+            long length) {
+
+        /** Releases the body; no attempt can be built from this payload any more. */
+        void release() {
+            body.release();
+        }
+    }
 
     /**
      * Counts for the log. Fetches are counted separately, because they show a faltering origin
@@ -301,12 +307,14 @@
         return calls.containsKey(id);
     }
 
+    /** Takes a client's request and the ownership of its payload. */
     void requestReceived(Request request, Payload payload, Client client) {
         tally.requests++;
         if (terminating || calls.size() >= maxOpenRequests) {
             // Above the configured limit, or after the final responses, the module is not asked.
             // Nothing has run, so the rejection is truthful.
             tally.refused++;
+            payload.release();
             client.onRejected(0);
             return;
         }
@@ -652,8 +660,10 @@
     }
 
     private void removeIfDone(Call call) {
-        if (call.finished && call.pendingAttempt == null) {
-            calls.remove(call.clientRequest.id(), call);
+        if (call.finished
+                && call.pendingAttempt == null
+                && calls.remove(call.clientRequest.id(), call)) {
+            call.payload.release();
         }
     }
 
@@ -853,7 +863,7 @@
                                     HttpVersion.HTTP_1_1,
                                     payload.method(),
                                     payload.uri(),
-                                    Unpooled.wrappedBuffer(payload.body()));
+                                    payload.body().retainedDuplicate());
             request.headers()
                     .set(HttpHeaderNames.HOST, "service.internal")
                     .set("X-Call-Id", clientRequest.id())
@@ -870,8 +880,9 @@
                 HttpUtil.setTransferEncodingChunked(request, true);
             } else if (payload.upload() != null) {
                 HttpUtil.setContentLength(request, payload.length());
-            } else if (payload.body().length > 0 || payload.method().equals(HttpMethod.PUT)) {
-                request.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, payload.body().length);
+            } else if (payload.body().isReadable() || payload.method().equals(HttpMethod.PUT)) {
+                request.headers()
+                        .setInt(HttpHeaderNames.CONTENT_LENGTH, payload.body().readableBytes());
             }
             return request;
         }
--- a/src/main/java/cacheproxy/proxy/Service.java
+++ b/src/main/java/cacheproxy/proxy/Service.java
@@ -158,6 +158,7 @@
         Settings settings = config.settings();
         int sockets = Math.max(2, config.maxSockets() - RESERVED_DESCRIPTORS);
         int clientSockets = Math.max(1, (int) (sockets * CLIENT_FRACTION));
+        BodyMemory bodyMemory = new BodyMemory();
         pool =
                 new NodePool(
                         loop,
@@ -165,10 +166,11 @@
                         settings.limits().connectTimeoutMs(),
                         settings.connections().idleTimeoutMs(),
                         Math.max(1, sockets - clientSockets),
+                        bodyMemory,
                         config.seed());
         pool.setServiceClasses(settings.classes());
         proxy = new Proxy(loop, clock, settings, router, pool, config.maxOpenRequests());
-        clients = new ClientServer(loop, proxy, settings, clientSockets);
+        clients = new ClientServer(loop, proxy, settings, clientSockets, bodyMemory);
         discovery =
                 new Discovery(
                         loop,
--- a/src/main/java/cacheproxy/proxy/Warmup.java
+++ b/src/main/java/cacheproxy/proxy/Warmup.java
@@ -271,6 +271,7 @@
 
     void start() throws InterruptedException {
         endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(durationMs);
+        BodyMemory bodyMemory = new BodyMemory();
         NodePool pool =
                 new NodePool(
                         loop,
@@ -278,6 +279,7 @@
                         CONNECT_TIMEOUT_MS,
                         settings.connections().idleTimeoutMs(),
                         NODE_COUNT * CLIENT_COUNT,
+                        bodyMemory,
                         1);
         Proxy proxy =
                 new Proxy(
@@ -287,7 +289,8 @@
                         new DecisionModule(settings, 0),
                         pool,
                         CLIENT_COUNT + 1);
-        ClientServer clients = new ClientServer(loop, proxy, settings, MAX_CLIENT_CONNECTIONS);
+        ClientServer clients =
+                new ClientServer(loop, proxy, settings, MAX_CLIENT_CONNECTIONS, bodyMemory);
         LocalAddress proxyAddress = new LocalAddress(Warmup.class);
         List<EndpointListUpdate.Endpoint> hosts = new ArrayList<>();
         for (int i = 0; i <= NODE_COUNT; i++) {
--- a/src/test/java/cacheproxy/proxy/DiscoveryWatchTest.java
+++ b/src/test/java/cacheproxy/proxy/DiscoveryWatchTest.java
@@ -627,7 +627,14 @@
                             new Clock(),
                             settings,
                             fixture.router,
-                            new NodePool(loop, ConnectionTransport.TCP, 1000, 60000, 4, 1),
+                            new NodePool(
+                                    loop,
+                                    ConnectionTransport.TCP,
+                                    1000,
+                                    60000,
+                                    4,
+                                    new BodyMemory(),
+                                    1),
                             4);
             AtomicInteger remainingFailures = new AtomicInteger(10);
             Discovery discovery =
--- a/src/test/java/cacheproxy/proxy/FaultyProxyFixture.java
+++ b/src/test/java/cacheproxy/proxy/FaultyProxyFixture.java
@@ -69,6 +69,7 @@
         this.baseFixture = baseFixture;
         loop = group.next();
         FaultySelectorProvider nodeProvider = new FaultySelectorProvider(nodeCalls);
+        BodyMemory bodyMemory = new BodyMemory();
         pool =
                 new NodePool(
                         loop,
@@ -77,11 +78,12 @@
                         CONNECT_TIMEOUT_MS,
                         60_000,
                         MAX_NODE_CONNECTIONS,
+                        bodyMemory,
                         1,
                         System::nanoTime);
         Proxy proxy =
                 new Proxy(loop, new Clock(), config.settings(), router, pool, MAX_OPEN_REQUESTS);
-        clientServer = new ClientServer(loop, proxy, config.settings(), MAX_CLIENTS);
+        clientServer = new ClientServer(loop, proxy, config.settings(), MAX_CLIENTS, bodyMemory);
         FaultySelectorProvider watchProvider = new FaultySelectorProvider(discoveryCalls);
         Discovery discovery =
                 new Discovery(
--- a/src/test/java/cacheproxy/proxy/LongDiscoveryOutageTest.java
+++ b/src/test/java/cacheproxy/proxy/LongDiscoveryOutageTest.java
@@ -91,6 +91,7 @@
         Config config = fixture.config(mode, "60000", "");
         boolean pushed = !config.settings().mustSubscribe();
         watchTimes = pushed ? Discovery.Times.PUSHED : Discovery.Times.ASKED;
+        BodyMemory bodyMemory = new BodyMemory();
         NodePool pool =
                 new NodePool(
                         loop,
@@ -98,6 +99,7 @@
                         config.settings().limits().connectTimeoutMs(),
                         MINUTE_MS,
                         MAX_NODE_CONNECTIONS,
+                        bodyMemory,
                         1,
                         loop::nanos);
         Proxy proxy =
@@ -108,7 +110,8 @@
                         new DecisionModule(config.settings(), 1),
                         pool,
                         MAX_OPEN_REQUESTS);
-        ClientServer clients = new ClientServer(loop, proxy, config.settings(), MAX_CLIENTS);
+        ClientServer clients =
+                new ClientServer(loop, proxy, config.settings(), MAX_CLIENTS, bodyMemory);
         Discovery discovery =
                 new Discovery(
                         loop,
--- a/src/test/java/cacheproxy/proxy/WithNodePool.java
+++ b/src/test/java/cacheproxy/proxy/WithNodePool.java
@@ -41,6 +41,7 @@
                         CONNECT_TIMEOUT_MS,
                         60_000,
                         100,
+                        new BodyMemory(),
                         1,
                         nanoClock::get);
         setAvailability(Availability.UP);
