--- a/src/main/java/cacheproxy/proxy/Service.java
+++ b/src/main/java/cacheproxy/proxy/Service.java
@@ -108,6 +108,7 @@
     private final EventLoop loop = group.next();
     private final Config config;
     private final Proxy proxy;
+    private final BodyMemory bodyMemory = new BodyMemory();
     private final NodePool pool;
     private final ClientServer clients;
     private final Discovery discovery;
@@ -158,7 +159,6 @@
         Settings settings = config.settings();
         int sockets = Math.max(2, config.maxSockets() - RESERVED_DESCRIPTORS);
         int clientSockets = Math.max(1, (int) (sockets * CLIENT_FRACTION));
-        BodyMemory bodyMemory = new BodyMemory();
         pool =
                 new NodePool(
                         loop,
@@ -655,7 +655,9 @@
                 "origin_connections",
                 pool.connectionCount(proxy.originId()),
                 "fetch_ms",
-                tally.meanFetchMs());
+                tally.meanFetchMs(),
+                "body_bytes",
+                bodyMemory.usedBytes());
         if (gossip != null) {
             gossip.logTally();
         }
