Do not cut off a response of unknown length while its node writes it

Cause: NodePool ends a response that rests for a quarter of the shortest objective (62 ms there) until it is streamed, and a response of unknown length is streamed only after 64 KiB; an attempt's timeout and a cancel cut it off as well. Evidence: nodes see the close after their first piece; SlowResponseTest without the module sees ERROR at the pause.

Change: the rest no longer ends a successful response of unknown length; when its attempt times out or is cancelled while the node writes, it is passed on as it comes. If it is silent 0.3 s after the deadline it is broken off, as long as no more than 64 KiB came. Incomplete heads and stated lengths up to 64 KiB are judged as before.

--- a/src/main/java/cacheproxy/proxy/MessageAggregator.java
+++ b/src/main/java/cacheproxy/proxy/MessageAggregator.java
@@ -18,7 +18,7 @@
  * Aggregates messages of up to 64 KiB and passes each on as one full message. Of a longer message
  * it passes on the head as soon as the length is known to exceed that, and then the content as it
  * arrives; so a connection never buffers more than those 64 KiB. A shorter message is passed on in
- * the same way if the memory that all connections share has no room for its body.
+ * the same way if the memory that all connections share has no room for its body, or on request.
  */
 abstract class MessageAggregator extends ChannelInboundHandlerAdapter {
 
@@ -29,10 +29,14 @@
     static final long MAX_MESSAGE_BYTES = 33L << 20;
 
     private final BodyMemory memory;
+    private ChannelHandlerContext context;
     private HttpMessage head;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
     private long receivedBytes;
 
+    /** Whether a part of a message has arrived, of which nothing was passed on yet. */
+    private boolean aggregating;
+
     /** Whether the message is passed on as it arrives. */
     private boolean streaming;
 
@@ -49,6 +53,26 @@
     /** Called when a valid head was read and the body may follow. */
     void headAccepted(ChannelHandlerContext ctx, HttpMessage message) {}
 
+    @Override
+    public void handlerAdded(ChannelHandlerContext ctx) {
+        context = ctx;
+    }
+
+    /**
+     * The head of the message of which nothing was passed on yet, or null if there is no such
+     * message or its head is still to come.
+     */
+    HttpMessage aggregatedHead() {
+        return aggregating ? head : null;
+    }
+
+    /** Passes on what has arrived of the aggregated message, and the rest as it arrives. */
+    void streamAggregated() {
+        if (aggregating) {
+            startStreaming(context);
+        }
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         if (message instanceof FullHttpMessage) {
@@ -72,6 +96,7 @@
             fireTooLong(ctx);
         } else {
             headAccepted(ctx, message);
+            aggregating = !streaming;
             if (streaming) {
                 ctx.fireChannelRead(message);
             }
@@ -92,6 +117,7 @@
     }
 
     private void fireAggregated(ChannelHandlerContext ctx, ByteBuf content) {
+        aggregating = false;
         FullHttpMessage aggregated = aggregate(head, content);
         aggregated.setDecoderResult(head.decoderResult());
         ctx.fireChannelRead(aggregated);
@@ -139,11 +165,13 @@
         return appended != null;
     }
 
-    /** Passes on what has arrived of the message; the rest is passed on as it arrives. */
     private void startStreaming(ChannelHandlerContext ctx) {
+        aggregating = false;
         streaming = true;
         ctx.fireChannelRead(head);
-        ctx.fireChannelRead(new DefaultHttpContent(detachBody()));
+        if (body.isReadable()) {
+            ctx.fireChannelRead(new DefaultHttpContent(detachBody()));
+        }
     }
 
     private ByteBuf detachBody() {
@@ -165,6 +193,7 @@
 
     private void release() {
         ReferenceCountUtil.release(detachBody());
+        aggregating = false;
         discarding = true;
     }
 }
--- a/src/main/java/cacheproxy/proxy/NodePool.java
+++ b/src/main/java/cacheproxy/proxy/NodePool.java
@@ -78,9 +78,10 @@
 
     /**
      * A response that has begun but makes no progress for this fraction of the shortest latency
-     * objective, limited by {@link #MAX_STALL_TIMEOUT_MS}, is treated as broken: nodes write a
-     * response at once, and when one arrived in part its rest never followed. This leaves enough
-     * time to get the response from another node.
+     * objective, limited by {@link #MAX_STALL_TIMEOUT_MS}, is treated as broken if its head is
+     * incomplete or states a length that is aggregated. This leaves enough time to get the response
+     * from another node. A response of unknown length may be a long one that its node writes
+     * slowly; it lasts until the attempt's timeout.
      */
     private static final double STALL_TIMEOUT_FRACTION = 0.25;
 
@@ -435,7 +436,7 @@
                                                         new HttpRequestEncoder(),
                                                         connection.byteHandler,
                                                         connection.decoder,
-                                                        new ResponseAggregator(bodyMemory),
+                                                        connection.aggregator,
                                                         connection);
                                     }
                                 })
@@ -553,8 +554,10 @@
     }
 
     /** One connection to an endpoint. */
-    private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
+    private final class Connection extends SimpleChannelInboundHandler<HttpObject>
+            implements UpstreamAttempt.IncompleteResponse {
         private final Target target;
+        private final ResponseAggregator aggregator = new ResponseAggregator(bodyMemory);
         private final StrictHttp.ResponseDecoder decoder = new StrictHttp.ResponseDecoder();
         private final InboundByteHandler byteHandler = new InboundByteHandler();
         private ChannelHandlerContext context;
@@ -608,6 +611,7 @@
             attempt.connectionIdleMs = usedBefore ? idleMs(nanoClock.getAsLong()) : 0;
             usedBefore = true;
             attempt.channel = context.channel();
+            attempt.incompleteResponse = this;
             // The promise covers the head and a complete body: it fails if the connection breaks
             // before the last byte is written.
             context.writeAndFlush(attempt.buildRequest())
@@ -709,7 +713,7 @@
                 recordAnswered();
                 attempt.finishStreaming(part);
             } else {
-                attempt.bodyConsumer.onPart(part);
+                attempt.streamPart(part);
             }
         }
 
@@ -744,10 +748,7 @@
         public void channelReadComplete(ChannelHandlerContext ctx) {
             if (completeResponse != null) {
                 finishAttempt();
-            } else if (currentAttempt != null
-                    && matchedStartBytes > 0
-                    && currentAttempt.bodyConsumer == null
-                    && stallTimer == null) {
+            } else if (currentAttempt != null && mayBeStalled() && stallTimer == null) {
                 scheduleStallCheck(ctx, currentAttempt, stallTimeoutMs);
             }
         }
@@ -759,20 +760,40 @@
                     loop.schedule(
                             () -> {
                                 stallTimer = null;
-                                double quietMs = (nanoClock.getAsLong() - lastReadNanos) / 1e6;
-                                if (currentAttempt != watchedAttempt || matchedStartBytes == 0) {
+                                if (currentAttempt != watchedAttempt || !mayBeStalled()) {
                                     return;
-                                } else if (quietMs >= stallTimeoutMs) {
+                                } else if (quietMs() >= stallTimeoutMs) {
                                     failAttempt(ctx, null);
                                 } else {
                                     scheduleStallCheck(
-                                            ctx, watchedAttempt, stallTimeoutMs - quietMs);
+                                            ctx, watchedAttempt, stallTimeoutMs - quietMs());
                                 }
                             },
                             (long) (waitMs * 1e6),
                             TimeUnit.NANOSECONDS);
         }
 
+        /** Whether a response has begun that ends the attempt if no more of it arrives. */
+        private boolean mayBeStalled() {
+            return matchedStartBytes > 0
+                    && currentAttempt.bodyConsumer == null
+                    && !isStreamable(aggregator.aggregatedHead());
+        }
+
+        @Override
+        public double quietMs() {
+            return (nanoClock.getAsLong() - lastReadNanos) / 1e6;
+        }
+
+        @Override
+        public boolean stream() {
+            boolean streamable = isStreamable(aggregator.aggregatedHead());
+            if (streamable) {
+                aggregator.streamAggregated();
+            }
+            return streamable;
+        }
+
         private void cancelStallTimer() {
             if (stallTimer != null) {
                 stallTimer.cancel(false);
@@ -934,6 +955,17 @@
         }
     }
 
+    /**
+     * Whether a response with this head may turn out longer than what is aggregated, and may then
+     * be streamed. Null stands for a head that is not complete.
+     */
+    private static boolean isStreamable(HttpMessage head) {
+        return head instanceof HttpResponse response
+                && !HttpUtil.isContentLengthSet(response)
+                && outcomeOf(response) == Outcome.OK
+                && hasDetectableEnd(response);
+    }
+
     /**
      * Whether the end of a response can be told from truncation: it declares its length, or it
      * announces that the end of the connection ends it.
--- a/src/main/java/cacheproxy/proxy/Proxy.java
+++ b/src/main/java/cacheproxy/proxy/Proxy.java
@@ -58,6 +58,25 @@
      */
     private static final double TIMER_RETRY_DELAY_MS = 1000;
 
+    /**
+     * Longest pause within a response after which its node still counts as writing it, in
+     * milliseconds. After a longer one another node is asked, if there is time for it.
+     */
+    private static final double MAX_RESPONSE_PAUSE_MS = 500;
+
+    /** An attempt is the last one of a request if less than this fraction of its budget remains. */
+    private static final double LAST_ATTEMPT_BUDGET_FRACTION = 0.1;
+
+    /**
+     * Time after a request's deadline at which a streamed response must not be silent, in
+     * milliseconds, unless more of it has arrived than is aggregated: of a short response the last
+     * byte is due half a second after the deadline.
+     */
+    private static final double SILENT_RESPONSE_GRACE_MS = 300;
+
+    /** Silence at that time that ends the response, and the interval of further checks. */
+    private static final double SILENT_RESPONSE_MS = 200;
+
     /** The client's side of a request. */
     interface Client {
         /** Whether the client is known to have disconnected. If so, its connection is closed. */
@@ -445,6 +464,9 @@
             tally.served++;
             markFinished(call);
             consumer = call.client.onStreamedResponse(head, upstreamAttempt);
+            if (!HttpUtil.isContentLengthSet(head)) {
+                scheduleSilenceCheck(upstreamAttempt, call.deadlineMs + SILENT_RESPONSE_GRACE_MS);
+            }
         }
         notifyAttemptEnded(
                 call,
@@ -456,6 +478,38 @@
         return consumer;
     }
 
+    /**
+     * Whether a response is streamed although only a part of it has arrived when its attempt's time
+     * is over. It may be a long one, which must not be cut off while its node writes it.
+     */
+    private boolean acceptsIncompleteResponse(Call call, double quietMs) {
+        double remainingMs = call.deadlineMs - clock.now();
+        boolean lastAttempt =
+                remainingMs < LAST_ATTEMPT_BUDGET_FRACTION * call.clientRequest.budgetMs();
+        return isWanted(call) && (lastAttempt || quietMs < MAX_RESPONSE_PAUSE_MS);
+    }
+
+    /**
+     * Ends a streamed response whose node has fallen silent, so that the client learns in time that
+     * it is incomplete. A response that is known to be long is left to its node.
+     */
+    private void endIfSilent(UpstreamAttempt upstreamAttempt) {
+        if (!upstreamAttempt.isStreaming()
+                || upstreamAttempt.streamedBytes() > MessageAggregator.MAX_AGGREGATED_BYTES) {
+            return;
+        }
+        if (upstreamAttempt.isSilent(SILENT_RESPONSE_MS)) {
+            upstreamAttempt.closeStreaming();
+        } else {
+            scheduleSilenceCheck(upstreamAttempt, clock.now() + SILENT_RESPONSE_MS);
+        }
+    }
+
+    private void scheduleSilenceCheck(UpstreamAttempt upstreamAttempt, double atMs) {
+        loop.schedule(
+                () -> endIfSilent(upstreamAttempt), clock.nanosUntil(atMs), TimeUnit.NANOSECONDS);
+    }
+
     private void countOutcome(String node, Outcome outcome) {
         (node.equals(originId) ? tally.fetches : tally.lookUps)[outcome.ordinal()]++;
     }
@@ -730,6 +784,11 @@
                                         call, attempt, node, now, outcome, response);
                             }
 
+                            @Override
+                            public boolean acceptsIncompleteResponse(double quietMs) {
+                                return Proxy.this.acceptsIncompleteResponse(call, quietMs);
+                            }
+
                             @Override
                             public UpstreamAttempt.BodyConsumer onStreamedResponse(
                                     UpstreamAttempt upstreamAttempt, HttpResponse head) {
--- a/src/main/java/cacheproxy/proxy/UpstreamAttempt.java
+++ b/src/main/java/cacheproxy/proxy/UpstreamAttempt.java
@@ -36,14 +36,37 @@
         }
 
         /**
-         * A successful response that is too long to be aggregated has begun. Returns the consumer
-         * of its body, or null if the body is not wanted.
+         * Whether a response of which only a part has arrived is to be passed on as it arrives,
+         * rather than given up now.
+         *
+         * @param quietMs time since its latest bytes, in milliseconds
+         */
+        default boolean acceptsIncompleteResponse(double quietMs) {
+            return false;
+        }
+
+        /**
+         * A successful response that is too long to be aggregated has begun, or one whose length
+         * isn't known and that was accepted while it is incomplete. Returns the consumer of its
+         * body, or null if the body is not wanted.
          */
         default BodyConsumer onStreamedResponse(UpstreamAttempt attempt, HttpResponse head) {
             return null;
         }
     }
 
+    /** A response on its way from the node, of which nothing was passed on yet. */
+    interface IncompleteResponse {
+        /** Time since its latest bytes, in milliseconds. */
+        double quietMs();
+
+        /**
+         * Starts to stream it if it may be longer than what is aggregated. Returns false if it is
+         * short, not successful, or has no complete head yet.
+         */
+        boolean stream();
+    }
+
     /** Takes the body of a streamed response. */
     interface BodyConsumer {
         /** Takes one part and the ownership of it. */
@@ -77,6 +100,10 @@
     /** Whether bytes of a response have been received. */
     boolean responseStarted;
 
+    /** The response on the attempt's connection; null while the request is not written. */
+    IncompleteResponse incompleteResponse;
+
+    private long streamedBytes;
     private Future<?> timeoutTimer;
     private Future<?> writeDeadlineTimer;
     private long writeDeadlineNanos;
@@ -102,9 +129,13 @@
 
     /**
      * Cancels the attempt and closes its connection, because the response may still arrive and
-     * would be taken for another request's.
+     * would be taken for another request's. A response that is accepted while it is incomplete is
+     * streamed instead.
      */
     void cancel() {
+        if (streamIncompleteResponse()) {
+            return;
+        }
         abandon(Outcome.CANCELLED);
         if (bodyConsumer != null) {
             bodyConsumer = null;
@@ -186,6 +217,29 @@
         cancelTimer(writeDeadlineTimer);
     }
 
+    /** Whether a response is being streamed that has not ended yet. */
+    boolean isStreaming() {
+        return bodyConsumer != null;
+    }
+
+    /** Number of body bytes that were streamed so far. */
+    long streamedBytes() {
+        return streamedBytes;
+    }
+
+    /**
+     * Whether the node of a streamed response has written nothing for the given time although it
+     * was read from.
+     */
+    boolean isSilent(double quietMs) {
+        return channel.config().isAutoRead() && incompleteResponse.quietMs() >= quietMs;
+    }
+
+    /** Gives a streamed response up; its consumer is notified that it remains incomplete. */
+    void closeStreaming() {
+        channel.close();
+    }
+
     void startStreaming(HttpResponse head) {
         finished = true;
         cancelTimers();
@@ -193,6 +247,11 @@
         bodyConsumer = listener.onStreamedResponse(this, head);
     }
 
+    void streamPart(HttpContent part) {
+        streamedBytes += part.content().readableBytes();
+        bodyConsumer.onPart(part);
+    }
+
     void finishStreaming(HttpContent part) {
         BodyConsumer consumer = bodyConsumer;
         bodyConsumer = null;
@@ -210,8 +269,18 @@
     }
 
     private void onTimeout() {
-        // The node cannot have started the request before its last byte was written.
-        abandon(written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED);
+        if (!streamIncompleteResponse()) {
+            // The node cannot have started the request before its last byte was written.
+            abandon(written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED);
+        }
+    }
+
+    private boolean streamIncompleteResponse() {
+        return !finished
+                && written
+                && incompleteResponse != null
+                && listener.acceptsIncompleteResponse(incompleteResponse.quietMs())
+                && incompleteResponse.stream();
     }
 
     void failIfUnconnected() {
