Test: wait until a stopped control machine's addresses are free

Cause: closing an NIO channel that is registered with a selector releases its socket only when that selector selects the next time. The test started the machine again as soon as the call of close had returned, so its bind could run in the same turn of the event loop.

The test now waits, with its usual limit, until both addresses of the stopped machine can be bound. What it asserts is unchanged.

--- a/src/test/java/cacheproxy/raft/StreamSocketsTest.java
+++ b/src/test/java/cacheproxy/raft/StreamSocketsTest.java
@@ -177,13 +177,30 @@
         return service.listen(address);
     }
 
-    private void stop(String name) {
+    /** Stops a control machine and waits until its addresses can be bound again. */
+    private void stop(String name) throws Exception {
         StreamService stopped = services.remove(name);
         onLoop(
                 () -> {
                     stopped.close();
                     return null;
                 });
+        for (InetSocketAddress address : List.of(peerAddresses.get(name), servers.get(name))) {
+            await(address + " is released", () -> isReleased(address));
+        }
+    }
+
+    /**
+     * Whether the listener of an address is closed: the selector releases the socket of a closed
+     * channel only when it selects the next time.
+     */
+    private static boolean isReleased(InetSocketAddress address) {
+        try (ServerSocket socket = new ServerSocket()) {
+            socket.bind(address);
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
     }
 
     @AfterEach
@@ -346,7 +363,9 @@
     void confirmedEntriesSurviveRestartOfAllControlMachines() throws Exception {
         List<Proxy> all = startProxies(servers);
         publish(0, 70);
-        List.copyOf(services.keySet()).forEach(this::stop);
+        for (String name : List.copyOf(services.keySet())) {
+            stop(name);
+        }
         for (String name : servers.keySet()) {
             startService(name, servers.get(name));
         }
