--- a/src/main/java/cacheproxy/proxy/Warmup.java
+++ b/src/main/java/cacheproxy/proxy/Warmup.java
@@ -70,18 +70,6 @@
 
     private static final int CLIENT_COUNT = 4;
 
-    /**
-     * Number of requests after which the loop pauses for a moment. Where a hundred processes start
-     * on a few cores at once, a thread that uses one second of CPU time without waiting occupies
-     * its core for a minute and is considered hung.
-     */
-    private static final int REQUESTS_PER_PAUSE = 40;
-
-    private static final long PAUSE_MS = 1;
-
-    /** How many times a pause is extended for clients that have no response yet. */
-    private static final int MAX_PAUSE_EXTENSIONS = 5;
-
     private static final int NODE_COUNT = 4;
 
     /**
@@ -107,10 +95,6 @@
 
     private int sent;
 
-    /** Requests that are sent when the pause ends; null while there is no pause. */
-    private List<Runnable> pausedRequests;
-
-    private volatile int pauses;
     private volatile int served;
     private volatile boolean stopped;
 
@@ -212,38 +196,6 @@
         return served;
     }
 
-    /** Returns how many times the loop was idle because all clients were paused. */
-    int pauses() {
-        return pauses;
-    }
-
-    /** Sends the request now, or after the pause that is in progress or begins with this call. */
-    private void sendOrPause(Runnable sendRequest) {
-        if (pausedRequests == null && sent % REQUESTS_PER_PAUSE == 0 && sent > 0) {
-            pausedRequests = new ArrayList<>();
-            loop.schedule(() -> endPause(MAX_PAUSE_EXTENSIONS), PAUSE_MS, TimeUnit.MILLISECONDS);
-        }
-        if (pausedRequests == null) {
-            sendRequest.run();
-        } else {
-            pausedRequests.add(sendRequest);
-        }
-    }
-
-    private void endPause(int extensionsLeft) {
-        List<Runnable> requests = pausedRequests;
-        if (requests.size() < CLIENT_COUNT && extensionsLeft > 0) {
-            // Some clients have no response yet.
-            loop.schedule(() -> endPause(extensionsLeft - 1), PAUSE_MS, TimeUnit.MILLISECONDS);
-            return;
-        }
-        // Only the event loop writes this field.
-        int updatedPauses = pauses + (requests.size() < CLIENT_COUNT ? 0 : 1);
-        pauses = updatedPauses;
-        pausedRequests = null;
-        requests.forEach(Runnable::run);
-    }
-
     /** Returns how many requests have been sent, read on the event loop. */
     int sentCount() throws InterruptedException, ExecutionException {
         return loop.submit(() -> sent).get();
@@ -406,14 +358,11 @@
             if (answer.status().equals(HttpResponseStatus.OK)) {
                 countServed();
             }
-            sendOrPause(
-                    () -> {
-                        if (sent < REQUEST_COUNT && !stopped && System.nanoTime() - endNanos < 0) {
-                            sendRequest(ctx);
-                        } else {
-                            done.countDown();
-                        }
-                    });
+            if (sent < REQUEST_COUNT && !stopped && System.nanoTime() - endNanos < 0) {
+                sendRequest(ctx);
+            } else {
+                done.countDown();
+            }
         }
 
         private void sendRequest(ChannelHandlerContext ctx) {
