Give a connection to a node, payloads, tallies and response rules files of their own

NodePool held the state machine of a connection beside the pool's own work. NodeConnection now judges what arrives and ends the attempt; the pool's Target is its Owner, which knows whether the endpoint is listed, backs off and keeps idle connections. ResponseHeads holds what a response's head says, ResponseAggregator and RequestAggregator stand alone, and MessageAggregatorTest uses the latter instead of a copy. From Proxy come Payload (which builds the request for a node), RequestTally, and IncompleteResponsePolicy (how long the rest of a response is waited for). No behaviour changes.

--- a/src/main/java/cacheproxy/proxy/BodyMemory.java
+++ b/src/main/java/cacheproxy/proxy/BodyMemory.java
@@ -8,8 +8,9 @@
  * The memory for message bodies that are aggregated, shared by all connections of a proxy. Bodies
  * are copied into heap buffers that grow with what has arrived: a read buffer would stay allocated
  * as a whole, however few bytes of it belong to a body, and direct memory is limited far more
- * tightly than the heap. A buffer counts until its last reference is released. Confined to one
- * event loop.
+ * tightly than the heap. The buffers are pooled, because a body that arrives slowly outlives the
+ * young generation, so that each unpooled one would add to the work of a full collection. A buffer
+ * counts until its last reference is released. Confined to one event loop.
  */
 final class BodyMemory {
 
--- a/src/main/java/cacheproxy/proxy/ClientServer.java
+++ b/src/main/java/cacheproxy/proxy/ClientServer.java
@@ -15,18 +15,14 @@
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpResponse;
-import io.netty.handler.codec.http.EmptyHttpHeaders;
-import io.netty.handler.codec.http.FullHttpMessage;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
@@ -406,36 +402,6 @@
         }
     }
 
-    /** Aggregates requests. A body that exceeds the size limit raises an exception. */
-    private static final class RequestAggregator extends MessageAggregator {
-        RequestAggregator(BodyMemory memory) {
-            super(memory);
-        }
-
-        @Override
-        void headAccepted(ChannelHandlerContext ctx, HttpMessage message) {
-            if (HttpUtil.is100ContinueExpected(message)) {
-                ctx.writeAndFlush(
-                        new DefaultFullHttpResponse(
-                                HttpVersion.HTTP_1_1,
-                                HttpResponseStatus.CONTINUE,
-                                Unpooled.EMPTY_BUFFER));
-            }
-        }
-
-        @Override
-        FullHttpMessage aggregate(HttpMessage head, ByteBuf body) {
-            HttpRequest request = (HttpRequest) head;
-            return new DefaultFullHttpRequest(
-                    request.protocolVersion(),
-                    request.method(),
-                    request.uri(),
-                    body,
-                    request.headers(),
-                    EmptyHttpHeaders.INSTANCE);
-        }
-    }
-
     /** State of a connection; it determines which timeout applies. */
     private enum Phase {
         AWAITING_FIRST_BYTE,
@@ -790,7 +756,7 @@
                             : Unpooled.EMPTY_BUFFER;
             proxy.requestReceived(
                     request,
-                    new Proxy.Payload(
+                    new Payload(
                             httpRequest.method(),
                             httpRequest.uri(),
                             body,
--- a/src/main/java/cacheproxy/proxy/NodePool.java
+++ b/src/main/java/cacheproxy/proxy/NodePool.java
@@ -4,39 +4,14 @@
 import cacheproxy.Router.Outcome;
 import cacheproxy.Router.ServiceClass;
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.ChannelInputShutdownEvent;
-import io.netty.handler.codec.PrematureChannelClosureException;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.EmptyHttpHeaders;
-import io.netty.handler.codec.http.FullHttpMessage;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpMessage;
-import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpStatusClass;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.util.ReferenceCountUtil;
-import io.netty.util.concurrent.Future;
-import java.io.IOException;
 import java.net.SocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -86,7 +61,6 @@
     private static final double STALL_TIMEOUT_FRACTION = 0.25;
 
     private static final double MAX_STALL_TIMEOUT_MS = 200;
-    private static final byte[] STATUS_LINE_START = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
 
     private final EventLoop loop;
     private final Bootstrap bootstrap;
@@ -95,7 +69,7 @@
     private final int maxConnections;
     private final BodyMemory bodyMemory;
     private final Map<String, Target> targets = new HashMap<>();
-    private final Deque<Connection> pausing = new ArrayDeque<>();
+    private final Deque<NodeConnection> pausing = new ArrayDeque<>();
     private final IdleTimeoutEstimator idleTimeouts = new IdleTimeoutEstimator();
     private final LongSupplier nanoClock;
     private final SplittableRandom random;
@@ -252,11 +226,11 @@
     }
 
     private void closeIdle(Target target) {
-        List<Connection> all = new ArrayList<>(target.idle);
+        List<NodeConnection> all = new ArrayList<>(target.idle);
         target.idle.clear();
-        pausing.stream().filter(c -> c.target == target).forEach(all::add);
+        pausing.stream().filter(c -> c.owner() == target).forEach(all::add);
         pausing.removeAll(all);
-        all.forEach(c -> c.context.close());
+        all.forEach(c -> c.close());
     }
 
     int connectionCount() {
@@ -312,7 +286,7 @@
         if (!attempt.mayBeWritten()) {
             return attempt;
         }
-        Connection idle = takeNewestIdle(target);
+        NodeConnection idle = takeNewestIdle(target);
         if (idle != null) {
             idle.write(attempt);
         } else if (target.backoff.isPausing(nanoClock.getAsLong())) {
@@ -363,18 +337,18 @@
         scheduleConnect(target);
     }
 
-    private Connection takeNewestIdle(Target target) {
+    private NodeConnection takeNewestIdle(Target target) {
         long now = nanoClock.getAsLong();
         double timeoutMs = Math.min(idleTimeoutMs, idleTimeouts.timeoutMs(now));
-        for (Connection connection = target.idle.pollFirst();
+        for (NodeConnection connection = target.idle.pollFirst();
                 connection != null;
                 connection = target.idle.pollFirst()) {
             if (connection.idleMs(now) >= timeoutMs) {
-                connection.context.close();
+                connection.close();
             } else if (connection.isUsable()) {
                 return connection;
             } else {
-                connection.context.close();
+                connection.close();
             }
         }
         return null;
@@ -401,7 +375,7 @@
         boolean anyIdle = false;
         for (Target target : targets.values()) {
             int spareConnections = target.connectionCount - 1;
-            for (Connection connection = target.idle.peekLast();
+            for (NodeConnection connection = target.idle.peekLast();
                     connection != null
                             && connection.idleMs(now)
                                     >= (spareConnections > 0
@@ -412,7 +386,7 @@
                     connection = target.idle.peekLast()) {
                 spareConnections--;
                 target.idle.removeLast();
-                connection.context.close();
+                connection.close();
             }
             anyIdle |= !target.idle.isEmpty();
         }
@@ -423,7 +397,7 @@
     }
 
     private void connect(Target target, UpstreamAttempt attempt) {
-        Connection connection = new Connection(target);
+        NodeConnection connection = new NodeConnection(target, loop, bodyMemory, nanoClock);
         ChannelFuture connectFuture =
                 bootstrap
                         .clone()
@@ -431,13 +405,7 @@
                                 new ChannelInitializer<>() {
                                     @Override
                                     protected void initChannel(Channel channel) {
-                                        channel.pipeline()
-                                                .addLast(
-                                                        new HttpRequestEncoder(),
-                                                        connection.byteHandler,
-                                                        connection.decoder,
-                                                        connection.aggregator,
-                                                        connection);
+                                        connection.initPipeline(channel.pipeline());
                                     }
                                 })
                         .connect(target.address);
@@ -471,39 +439,40 @@
                 });
     }
 
-    private static void onConnected(Target target, Connection connection, UpstreamAttempt attempt) {
+    private static void onConnected(
+            Target target, NodeConnection connection, UpstreamAttempt attempt) {
         target.connecting.remove(attempt);
         if (attempt.mayBeWritten() && connection.isUsable()) {
             connection.write(attempt);
         } else {
-            connection.context.close();
+            connection.close();
             attempt.connectionBroken();
         }
     }
 
     /** Closes the oldest idle connection for a new one; false if all connections are busy. */
     private boolean closeOldestIdle() {
-        Connection oldest = pausing.peekFirst();
+        NodeConnection oldest = pausing.peekFirst();
         for (Target target : targets.values()) {
-            Connection candidate = target.idle.peekLast();
+            NodeConnection candidate = target.idle.peekLast();
             if (candidate != null
-                    && (oldest == null || candidate.idleSinceNanos - oldest.idleSinceNanos < 0)) {
+                    && (oldest == null
+                            || candidate.idleSinceNanos() - oldest.idleSinceNanos() < 0)) {
                 oldest = candidate;
             }
         }
         if (oldest != null) {
-            pausing.remove(oldest);
-            oldest.target.idle.remove(oldest);
-            oldest.context.close();
+            oldest.owner().onClosed(oldest);
+            oldest.close();
         }
         return oldest != null;
     }
 
     /** An endpoint's address, its idle connections, newest first, and the attempts waiting. */
-    private static final class Target {
+    private final class Target implements NodeConnection.Owner {
         final SocketAddress address;
         final double startedAtMs;
-        final Deque<Connection> idle = new ArrayDeque<>();
+        final Deque<NodeConnection> idle = new ArrayDeque<>();
 
         /**
          * False once the endpoint has left, moved or restarted: connections that become free are
@@ -532,469 +501,77 @@
             }
             return next;
         }
-    }
-
-    /** Makes connections available whose pause has ended; reschedules itself while any remain. */
-    private void endPauses() {
-        long now = nanoClock.getAsLong();
-        while (!pausing.isEmpty()
-                && now - pausing.peekFirst().idleSinceNanos
-                        >= TimeUnit.MILLISECONDS.toNanos(REUSE_PAUSE_MS)) {
-            pausing.removeFirst().endPause();
-        }
-        pauseTimerSet = false;
-        schedulePauseEnd();
-    }
-
-    private void schedulePauseEnd() {
-        if (!pauseTimerSet && !pausing.isEmpty()) {
-            pauseTimerSet = true;
-            loop.schedule(this::endPauses, REUSE_PAUSE_MS, TimeUnit.MILLISECONDS);
-        }
-    }
-
-    /** One connection to an endpoint. */
-    private final class Connection extends SimpleChannelInboundHandler<HttpObject>
-            implements UpstreamAttempt.IncompleteResponse {
-        private final Target target;
-        private final ResponseAggregator aggregator = new ResponseAggregator(bodyMemory);
-        private final StrictHttp.ResponseDecoder decoder = new StrictHttp.ResponseDecoder();
-        private final InboundByteHandler byteHandler = new InboundByteHandler();
-        private ChannelHandlerContext context;
-        private UpstreamAttempt currentAttempt;
-
-        /**
-         * The complete response, held until the current read ends, which shows whether surplus
-         * bytes came with it.
-         */
-        private FullHttpResponse completeResponse;
-
-        private boolean hasSurplusInput;
-        private int matchedStartBytes;
-
-        /** When the latest bytes were received, in nanoseconds. */
-        private long lastReadNanos;
-
-        /** Whether the connection may be kept open after the streamed response. */
-        private boolean keepAliveAfterStream;
-
-        /** Whether the streamed response ends only with the connection. */
-        private boolean closeDelimited;
-
-        /** Whether the node has closed its sending side in order, as opposed to a reset. */
-        private boolean inputShutdown;
-
-        private Future<?> stallTimer;
-        private long idleSinceNanos;
-        private boolean usedBefore;
-        private boolean hasAnswered;
-
-        /**
-         * Whether it was opened after the node rejected a connection. Only such a connection shows
-         * whether the node accepts connections again.
-         */
-        private final boolean openedAfterRejection;
-
-        Connection(Target target) {
-            this.target = target;
-            this.openedAfterRejection = target.backoff.isTableFull();
-        }
 
         @Override
-        public void handlerAdded(ChannelHandlerContext ctx) {
-            context = ctx;
-        }
-
-        void write(UpstreamAttempt attempt) {
-            currentAttempt = attempt;
-            matchedStartBytes = 0;
-            attempt.connectionIdleMs = usedBefore ? idleMs(nanoClock.getAsLong()) : 0;
-            usedBefore = true;
-            attempt.channel = context.channel();
-            attempt.incompleteResponse = this;
-            // The promise covers the head and a complete body: it fails if the connection breaks
-            // before the last byte is written.
-            context.writeAndFlush(attempt.buildRequest())
-                    .addListener(
-                            f -> {
-                                if (!f.isSuccess()) {
-                                    context.close();
-                                    attempt.connectionBroken();
-                                } else if (attempt.upload == null) {
-                                    attempt.written = true;
-                                }
-                            });
-            if (attempt.upload != null) {
-                attempt.upload.sendTo(context.channel(), () -> attempt.written = true);
-            }
+        public boolean isListed() {
+            return listed;
         }
 
         @Override
-        public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-            if (currentAttempt != null && currentAttempt.upload != null) {
-                currentAttempt.upload.updateReading();
-            }
-        }
-
-        /**
-         * Whether the connection is open and nothing has arrived since its last response: neither
-         * an end of stream nor bytes that would be read as the start of the next response.
-         */
-        boolean isUsable() {
-            return context.channel().isActive()
-                    && (!(context.channel() instanceof NodeChannel node)
-                            || node.hasNoPendingInput());
-        }
-
-        double idleMs(long now) {
-            return Math.max(1, now - idleSinceNanos) / 1e6;
-        }
-
-        /** Whether bytes that have arrived can belong to the pending response. */
-        private boolean isExpected(ByteBuf buffer) {
-            if (currentAttempt == null
-                    || currentAttempt.finished && currentAttempt.bodyConsumer == null
-                    || !currentAttempt.written && currentAttempt.upload == null) {
-                return false;
-            }
-            for (int i = buffer.readerIndex();
-                    matchedStartBytes < STATUS_LINE_START.length && i < buffer.writerIndex();
-                    i++, matchedStartBytes++) {
-                if (buffer.getByte(i) != STATUS_LINE_START[matchedStartBytes]) {
-                    return false;
-                }
-            }
-            currentAttempt.responseStarted = true;
-            return true;
+        public boolean isTableFull() {
+            return backoff.isTableFull();
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
-            if (part instanceof FullHttpResponse response) {
-                handleFullResponse(ctx, response);
-            } else if (part instanceof HttpResponse head) {
-                startStreaming(ctx, head);
-            } else if (currentAttempt != null && currentAttempt.bodyConsumer != null) {
-                streamPart(ctx, ((HttpContent) part).retain());
-            }
-        }
-
-        /**
-         * Starts a streamed response. Fails the attempt if the response is not a success, which
-         * would be passed on in vain, or if its end cannot be detected, as it might never end.
-         */
-        private void startStreaming(ChannelHandlerContext ctx, HttpResponse head) {
-            if (currentAttempt == null || completeResponse != null) {
-                hasSurplusInput = true;
-            } else if (outcomeOf(head) != Outcome.OK || !hasDetectableEnd(head)) {
-                failAttempt(ctx, null);
-            } else {
-                cancelStallTimer();
-                keepAliveAfterStream = HttpUtil.isKeepAlive(head);
-                closeDelimited = !declaresLength(head);
-                currentAttempt.startStreaming(head);
-                if (currentAttempt.bodyConsumer == null) {
-                    ctx.close();
-                }
-            }
-        }
-
-        private void streamPart(ChannelHandlerContext ctx, HttpContent part) {
-            UpstreamAttempt attempt = currentAttempt;
-            if (part.decoderResult().isFailure()) {
-                part.release();
-                failAttempt(ctx, part.decoderResult().cause());
-            } else if (part instanceof LastHttpContent && closeDelimited && !inputShutdown) {
-                part.release();
-                failAttempt(ctx, null);
-            } else if (part instanceof LastHttpContent) {
-                currentAttempt = null;
-                keepOrClose(attempt, keepAliveAfterStream && ctx.channel().isActive());
-                recordAnswered();
-                attempt.finishStreaming(part);
-            } else {
-                attempt.streamPart(part);
-            }
-        }
-
-        /**
-         * Records that the node has answered on this connection. If the connection was opened after
-         * a rejection, the node has capacity for connections again.
-         */
-        private void recordAnswered() {
-            if (!hasAnswered && openedAfterRejection) {
-                target.backoff.recordAccepted();
-            }
-            hasAnswered = true;
-        }
-
-        private void handleFullResponse(ChannelHandlerContext ctx, FullHttpResponse response) {
-            if (currentAttempt == null || completeResponse != null) {
-                hasSurplusInput = true;
-            } else if (response.decoderResult().isFailure()) {
-                failAttempt(ctx, response.decoderResult().cause());
-            } else if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-                matchedStartBytes = 0;
-            } else if (!declaresLength(response) && !(inputShutdown && announcesClose(response))) {
-                // Only the end of the connection delimits this response, and the node did not
-                // close it in order, so the response may be truncated.
-                currentAttempt.connectionBroken();
-            } else {
-                completeResponse = response.retain();
-            }
+        public double stallTimeoutMs() {
+            return stallTimeoutMs;
         }
 
         @Override
-        public void channelReadComplete(ChannelHandlerContext ctx) {
-            if (completeResponse != null) {
-                finishAttempt();
-            } else if (currentAttempt != null && mayBeStalled() && stallTimer == null) {
-                scheduleStallCheck(ctx, currentAttempt, stallTimeoutMs);
-            }
-        }
-
-        /** Fails the attempt if no more bytes of its response arrive within the stall timeout. */
-        private void scheduleStallCheck(
-                ChannelHandlerContext ctx, UpstreamAttempt watchedAttempt, double waitMs) {
-            stallTimer =
-                    loop.schedule(
-                            () -> {
-                                stallTimer = null;
-                                if (currentAttempt != watchedAttempt || !mayBeStalled()) {
-                                    return;
-                                } else if (quietMs() >= stallTimeoutMs) {
-                                    failAttempt(ctx, null);
-                                } else {
-                                    scheduleStallCheck(
-                                            ctx, watchedAttempt, stallTimeoutMs - quietMs());
-                                }
-                            },
-                            (long) (waitMs * 1e6),
-                            TimeUnit.NANOSECONDS);
-        }
-
-        /** Whether a response has begun that ends the attempt if no more of it arrives. */
-        private boolean mayBeStalled() {
-            return matchedStartBytes > 0
-                    && currentAttempt.bodyConsumer == null
-                    && !isStreamable(aggregator.aggregatedHead());
+        public void onRejected() {
+            backoff.recordRejection(nanoClock.getAsLong(), random.nextDouble());
         }
 
         @Override
-        public double quietMs() {
-            return (nanoClock.getAsLong() - lastReadNanos) / 1e6;
+        public void onAcceptedAgain() {
+            backoff.recordAccepted();
         }
 
         @Override
-        public boolean stream() {
-            boolean streamable = isStreamable(aggregator.aggregatedHead());
-            if (streamable) {
-                aggregator.streamAggregated();
-            }
-            return streamable;
-        }
-
-        private void cancelStallTimer() {
-            if (stallTimer != null) {
-                stallTimer.cancel(false);
-                stallTimer = null;
-            }
-        }
-
-        /**
-         * Ends the attempt with its complete response. If surplus bytes arrived with it, the
-         * connection is closed, because they would be taken for the next response.
-         */
-        private void finishAttempt() {
-            FullHttpResponse response = completeResponse;
-            UpstreamAttempt attempt = currentAttempt;
-            completeResponse = null;
-            currentAttempt = null;
-            cancelStallTimer();
-            keepOrClose(attempt, !hasSurplusInput && HttpUtil.isKeepAlive(response));
-            Outcome outcome = outcomeOf(response);
-            if (!hasAnswered && outcome == Outcome.REJECTED && !HttpUtil.isKeepAlive(response)) {
-                // A new connection that is rejected and closed at once: the node's connection table
-                // is full, which says nothing about the load of its cores.
-                outcome = Outcome.CONNECT_FAILED;
-                target.backoff.recordRejection(nanoClock.getAsLong(), random.nextDouble());
-                hasAnswered = true;
-            } else {
-                recordAnswered();
-            }
-            try {
-                attempt.finish(outcome, response);
-            } finally {
-                response.release();
-            }
+        public void onReleased(NodeConnection connection) {
+            pausing.addLast(connection);
+            schedulePauseEnd();
         }
 
-        /**
-         * Keeps the connection for another attempt if that is allowed, the request has been written
-         * completely and no unread bytes remain; otherwise closes it.
-         */
-        private void keepOrClose(UpstreamAttempt attempt, boolean reusable) {
-            // Reading may still be paused for a slow client although the last part has arrived.
-            context.channel().config().setAutoRead(true);
-            boolean requestWritten = attempt.upload == null || attempt.written;
-            if (reusable && requestWritten && !decoder.hasUnconsumedBytes() && target.listed) {
-                idleSinceNanos = nanoClock.getAsLong();
-                pausing.addLast(this);
-                schedulePauseEnd();
-            } else {
-                context.close();
-            }
+        @Override
+        public void onClosed(NodeConnection connection) {
+            idle.remove(connection);
+            pausing.remove(connection);
         }
 
-        private void endPause() {
-            if (!isUsable() || !target.listed) {
-                context.close();
+        @Override
+        public void onPauseEnded(NodeConnection connection) {
+            if (!connection.isUsable() || !listed) {
+                connection.close();
                 return;
             }
-            UpstreamAttempt waiting = target.pollWaiting();
-            if (waiting != null) {
-                write(waiting);
+            UpstreamAttempt waitingAttempt = pollWaiting();
+            if (waitingAttempt != null) {
+                connection.write(waitingAttempt);
                 return;
             }
-            target.idle.addFirst(this);
+            idle.addFirst(connection);
             scheduleIdleSweep();
         }
-
-        @Override
-        public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
-            if (event instanceof ChannelInputShutdownEvent) {
-                ctx.close();
-            }
-            ctx.fireUserEventTriggered(event);
-        }
-
-        @Override
-        public void channelInactive(ChannelHandlerContext ctx) {
-            target.idle.remove(this);
-            pausing.remove(this);
-            if (completeResponse != null) {
-                finishAttempt();
-            } else if (currentAttempt != null) {
-                currentAttempt.abortStreaming();
-                currentAttempt.connectionBroken();
-            }
-        }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            failAttempt(ctx, cause);
-        }
-
-        /**
-         * Ends the attempt and closes the connection. A broken connection is reported as such, even
-         * in the middle of a response; any other fault means that the response is invalid.
-         */
-        private void failAttempt(ChannelHandlerContext ctx, Throwable cause) {
-            boolean broke =
-                    cause instanceof IOException
-                            || cause instanceof PrematureChannelClosureException;
-            if (completeResponse != null) {
-                hasSurplusInput = true;
-                finishAttempt();
-            } else if (currentAttempt != null && currentAttempt.bodyConsumer != null) {
-                currentAttempt.abortStreaming();
-            } else if (currentAttempt != null
-                    && !broke
-                    && (currentAttempt.written || currentAttempt.responseStarted)) {
-                currentAttempt.finish(Outcome.ERROR, null);
-            } else if (currentAttempt != null) {
-                currentAttempt.connectionBroken();
-            }
-            ctx.close();
-        }
-
-        /**
-         * Checks bytes before they are decoded. Bytes that arrive while no response is pending, or
-         * before the request is written, belong to an earlier request. Bytes that do not start a
-         * status line are rejected here, since the decoder would notice that only at the line's
-         * end.
-         */
-        private final class InboundByteHandler extends ChannelInboundHandlerAdapter {
-            @Override
-            public void channelRead(ChannelHandlerContext ctx, Object message) {
-                if (completeResponse != null) {
-                    hasSurplusInput = true;
-                    ReferenceCountUtil.release(message);
-                } else if (message instanceof ByteBuf buffer && !isExpected(buffer)) {
-                    buffer.release();
-                    failAttempt(context, null);
-                } else {
-                    lastReadNanos = nanoClock.getAsLong();
-                    ctx.fireChannelRead(message);
-                }
-            }
-
-            @Override
-            public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
-                inputShutdown |= event instanceof ChannelInputShutdownEvent;
-                ctx.fireUserEventTriggered(event);
-            }
-        }
     }
 
-    /** Aggregates responses; one that exceeds the maximum length is treated as invalid. */
-    private static final class ResponseAggregator extends MessageAggregator {
-        ResponseAggregator(BodyMemory memory) {
-            super(memory);
-        }
-
-        @Override
-        FullHttpMessage aggregate(HttpMessage head, ByteBuf body) {
-            HttpResponse response = (HttpResponse) head;
-            return new DefaultFullHttpResponse(
-                    response.protocolVersion(),
-                    response.status(),
-                    body,
-                    response.headers(),
-                    EmptyHttpHeaders.INSTANCE);
+    /** Makes connections available whose pause has ended; reschedules itself while any remain. */
+    private void endPauses() {
+        long now = nanoClock.getAsLong();
+        while (!pausing.isEmpty()
+                && now - pausing.peekFirst().idleSinceNanos()
+                        >= TimeUnit.MILLISECONDS.toNanos(REUSE_PAUSE_MS)) {
+            NodeConnection connection = pausing.removeFirst();
+            connection.owner().onPauseEnded(connection);
         }
+        pauseTimerSet = false;
+        schedulePauseEnd();
     }
 
-    /**
-     * Whether a response with this head may turn out longer than what is aggregated, and may then
-     * be streamed. Null stands for a head that is not complete.
-     */
-    private static boolean isStreamable(HttpMessage head) {
-        return head instanceof HttpResponse response
-                && !HttpUtil.isContentLengthSet(response)
-                && outcomeOf(response) == Outcome.OK
-                && hasDetectableEnd(response);
-    }
-
-    /**
-     * Whether the end of a response can be told from truncation: it declares its length, or it
-     * announces that the end of the connection ends it.
-     */
-    private static boolean hasDetectableEnd(HttpResponse response) {
-        return declaresLength(response) || announcesClose(response);
-    }
-
-    private static boolean declaresLength(HttpResponse response) {
-        return HttpUtil.isContentLengthSet(response)
-                || HttpUtil.isTransferEncodingChunked(response);
-    }
-
-    /** Whether a response without a declared length announces that it ends with its connection. */
-    private static boolean announcesClose(HttpResponse response) {
-        return response.headers()
-                .contains(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true);
-    }
-
-    private static Outcome outcomeOf(HttpResponse response) {
-        HttpResponseStatus status = response.status();
-        return switch (status.code()) {
-            case 200 -> Outcome.OK;
-            case 404 -> Outcome.MISS;
-            case 503, 504 ->
-                    "1".equals(response.headers().get("X-Rejected"))
-                            ? Outcome.REJECTED
-                            : Outcome.ERROR;
-            default -> Outcome.ERROR;
-        };
+    private void schedulePauseEnd() {
+        if (!pauseTimerSet && !pausing.isEmpty()) {
+            pauseTimerSet = true;
+            loop.schedule(this::endPauses, REUSE_PAUSE_MS, TimeUnit.MILLISECONDS);
+        }
     }
 }
--- a/src/main/java/cacheproxy/proxy/Proxy.java
+++ b/src/main/java/cacheproxy/proxy/Proxy.java
@@ -7,18 +7,12 @@
 import cacheproxy.Router.Outcome;
 import cacheproxy.Router.Request;
 import cacheproxy.Router.Settings;
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import java.math.BigDecimal;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -58,25 +52,6 @@
      */
     private static final double TIMER_RETRY_DELAY_MS = 1000;
 
-    /**
-     * Longest pause within a response after which its node still counts as writing it, in
-     * milliseconds. After a longer one another node is asked, if there is time for it.
-     */
-    private static final double MAX_RESPONSE_PAUSE_MS = 500;
-
-    /** An attempt is the last one of a request if less than this fraction of its budget remains. */
-    private static final double LAST_ATTEMPT_BUDGET_FRACTION = 0.1;
-
-    /**
-     * Time after a request's deadline at which a streamed response must not be silent, in
-     * milliseconds, unless more of it has arrived than is aggregated: of a short response the last
-     * byte is due half a second after the deadline.
-     */
-    private static final double SILENT_RESPONSE_GRACE_MS = 300;
-
-    /** Silence at that time that ends the response, and the interval of further checks. */
-    private static final double SILENT_RESPONSE_MS = 200;
-
     /** The client's side of a request. */
     interface Client {
         /** Whether the client is known to have disconnected. If so, its connection is closed. */
@@ -107,57 +82,6 @@
         void onProbeCompleted(String node, Outcome outcome);
     }
 
-    /**
-     * A request as it is forwarded to nodes.
-     *
-     * @param body the complete body; empty if the body is streamed
-     * @param key the idempotency key, or null
-     * @param contentType the content type, or null
-     * @param upload the streamed body, or null if {@code body} is complete
-     * @param length length of the streamed body in bytes, or negative if unknown
-     */
-    record Payload(
-            HttpMethod method,
-            String uri,
-            ByteBuf body,
-            String key,
-            String contentType,
-            Upload upload,
-            long length) {
-
-        /** Releases the body; no attempt can be built from this payload any more. */
-        void release() {
-            body.release();
-        }
-    }
-
-    /**
-     * Counts for the log. Fetches are counted separately, because they show a faltering origin
-     * before anything else does.
-     */
-    static final class Tally {
-        final int[] lookUps = new int[Outcome.values().length];
-        final int[] fetches = new int[Outcome.values().length];
-
-        /** Rejections by the outcome of the request's last attempt. */
-        final int[] refusedAfter = new int[Outcome.values().length];
-
-        /** Rejections of requests that had no attempt. */
-        int refusedUntried;
-
-        private double servedFetchMs;
-        int requests;
-        int served;
-        int refused;
-        int failed;
-        int gone;
-
-        /** Mean duration of the successful fetches, in milliseconds. */
-        long meanFetchMs() {
-            return Math.round(servedFetchMs / Math.max(1, fetches[Outcome.OK.ordinal()]));
-        }
-    }
-
     private interface RouterEvent {
         void deliver(double now);
     }
@@ -178,7 +102,8 @@
     private final Queue<QueuedEvent> queuedEvents = new ArrayDeque<>();
     private final List<Runnable> requestedActions = new ArrayList<>();
     private final Log log = new Log();
-    private final Tally tally = new Tally();
+    private final RequestTally tally = new RequestTally();
+    private final IncompleteResponsePolicy incompleteResponses;
     private Runnable discoverySubscriber = () -> {};
     private Runnable endpointListListener = () -> {};
     private Consumer<byte[]> peerSender = contents -> {};
@@ -207,6 +132,7 @@
         this.router = router;
         this.pool = pool;
         this.maxOpenRequests = maxOpenRequests;
+        this.incompleteResponses = new IncompleteResponsePolicy(loop, clock);
         this.repeatWindowsMs =
                 settings.classes().stream()
                         .filter(c -> c.effect() == Router.Effect.KEYED)
@@ -251,7 +177,7 @@
         return pendingRequests;
     }
 
-    Tally tally() {
+    RequestTally tally() {
         return tally;
     }
 
@@ -414,7 +340,7 @@
         call.lastOutcome = outcome;
         countOutcome(node, outcome);
         if (outcome == Outcome.OK && node.equals(originId)) {
-            tally.servedFetchMs += clock.now() - sentAt;
+            tally.addServedFetch(clock.now() - sentAt);
         }
         if (outcome == Outcome.OK && !call.finished) {
             tally.served++;
@@ -464,9 +390,7 @@
             tally.served++;
             markFinished(call);
             consumer = call.client.onStreamedResponse(head, upstreamAttempt);
-            if (!HttpUtil.isContentLengthSet(head)) {
-                scheduleSilenceCheck(upstreamAttempt, call.deadlineMs + SILENT_RESPONSE_GRACE_MS);
-            }
+            incompleteResponses.streamingStarted(upstreamAttempt, head, call.deadlineMs);
         }
         notifyAttemptEnded(
                 call,
@@ -478,40 +402,14 @@
         return consumer;
     }
 
-    /**
-     * Whether a response is streamed although only a part of it has arrived when its attempt's time
-     * is over. It may be a long one, which must not be cut off while its node writes it.
-     */
     private boolean acceptsIncompleteResponse(Call call, double quietMs) {
-        double remainingMs = call.deadlineMs - clock.now();
-        boolean lastAttempt =
-                remainingMs < LAST_ATTEMPT_BUDGET_FRACTION * call.clientRequest.budgetMs();
-        return isWanted(call) && (lastAttempt || quietMs < MAX_RESPONSE_PAUSE_MS);
-    }
-
-    /**
-     * Ends a streamed response whose node has fallen silent, so that the client learns in time that
-     * it is incomplete. A response that is known to be long is left to its node.
-     */
-    private void endIfSilent(UpstreamAttempt upstreamAttempt) {
-        if (!upstreamAttempt.isStreaming()
-                || upstreamAttempt.streamedBytes() > MessageAggregator.MAX_AGGREGATED_BYTES) {
-            return;
-        }
-        if (upstreamAttempt.isSilent(SILENT_RESPONSE_MS)) {
-            upstreamAttempt.closeStreaming();
-        } else {
-            scheduleSilenceCheck(upstreamAttempt, clock.now() + SILENT_RESPONSE_MS);
-        }
-    }
-
-    private void scheduleSilenceCheck(UpstreamAttempt upstreamAttempt, double atMs) {
-        loop.schedule(
-                () -> endIfSilent(upstreamAttempt), clock.nanosUntil(atMs), TimeUnit.NANOSECONDS);
+        return isWanted(call)
+                && incompleteResponses.accepts(
+                        call.deadlineMs, call.clientRequest.budgetMs(), quietMs);
     }
 
     private void countOutcome(String node, Outcome outcome) {
-        (node.equals(originId) ? tally.fetches : tally.lookUps)[outcome.ordinal()]++;
+        tally.countAttempt(node.equals(originId), outcome);
     }
 
     private void reportToRouter(
@@ -683,12 +581,7 @@
     }
 
     private void rejectNow(Call call, double retryAfterMs) {
-        tally.refused++;
-        if (call.lastOutcome == null) {
-            tally.refusedUntried++;
-        } else {
-            tally.refusedAfter[call.lastOutcome.ordinal()]++;
-        }
+        tally.countRefused(call.lastOutcome);
         markFinished(call);
         call.client.onRejected(retryAfterMs);
     }
@@ -765,7 +658,9 @@
         pending.upstream =
                 pool.send(
                         node,
-                        () -> call.newNodeRequest(statedBudgetMs(call, attemptEndMs)),
+                        () ->
+                                call.payload.newNodeRequest(
+                                        request, statedBudgetMs(call, attemptEndMs)),
                         upload,
                         limitMs,
                         writeWithinMs,
@@ -912,38 +807,5 @@
         boolean isUploadConsumed() {
             return payload.upload() != null && payload.upload().isConsumed();
         }
-
-        HttpRequest newNodeRequest(double budgetMs) {
-            HttpRequest request =
-                    payload.upload() != null
-                            ? new DefaultHttpRequest(
-                                    HttpVersion.HTTP_1_1, payload.method(), payload.uri())
-                            : new DefaultFullHttpRequest(
-                                    HttpVersion.HTTP_1_1,
-                                    payload.method(),
-                                    payload.uri(),
-                                    payload.body().retainedDuplicate());
-            request.headers()
-                    .set(HttpHeaderNames.HOST, "service.internal")
-                    .set("X-Call-Id", clientRequest.id())
-                    .set(
-                            "X-Budget",
-                            BigDecimal.valueOf(Math.max(1, (long) budgetMs), 3).toPlainString());
-            if (payload.key() != null) {
-                request.headers().set("Idempotency-Key", payload.key());
-            }
-            if (payload.contentType() != null) {
-                request.headers().set(HttpHeaderNames.CONTENT_TYPE, payload.contentType());
-            }
-            if (payload.upload() != null && payload.length() < 0) {
-                HttpUtil.setTransferEncodingChunked(request, true);
-            } else if (payload.upload() != null) {
-                HttpUtil.setContentLength(request, payload.length());
-            } else if (payload.body().isReadable() || payload.method().equals(HttpMethod.PUT)) {
-                request.headers()
-                        .setInt(HttpHeaderNames.CONTENT_LENGTH, payload.body().readableBytes());
-            }
-            return request;
-        }
     }
 }
--- a/src/main/java/cacheproxy/proxy/Service.java
+++ b/src/main/java/cacheproxy/proxy/Service.java
@@ -625,7 +625,7 @@
     }
 
     private void logTally() {
-        Proxy.Tally tally = proxy.tally();
+        RequestTally tally = proxy.tally();
         Log.event(
                 "tally",
                 "requests",
--- a/src/test/java/cacheproxy/proxy/MessageAggregatorTest.java
+++ b/src/test/java/cacheproxy/proxy/MessageAggregatorTest.java
@@ -8,15 +8,11 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
-import io.netty.handler.codec.http.EmptyHttpHeaders;
-import io.netty.handler.codec.http.FullHttpMessage;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
@@ -34,20 +30,7 @@
     private final BodyMemory memory = new BodyMemory(LIMIT_BYTES);
 
     private EmbeddedChannel connection() {
-        return new EmbeddedChannel(
-                new MessageAggregator(memory) {
-                    @Override
-                    FullHttpMessage aggregate(HttpMessage head, ByteBuf body) {
-                        HttpRequest request = (HttpRequest) head;
-                        return new DefaultFullHttpRequest(
-                                request.protocolVersion(),
-                                request.method(),
-                                request.uri(),
-                                body,
-                                request.headers(),
-                                EmptyHttpHeaders.INSTANCE);
-                    }
-                });
+        return new EmbeddedChannel(new RequestAggregator(memory));
     }
 
     private static HttpRequest head() {
