Remove duplicates from tests and split the socket run's monitoring

The sockets lab sampled CPU time, memory and descriptors inside one long loop. Three gossip tests share GossipTestOptions, two proxy tests share TestServer.readChunkedBody, and StreamSocketsTest names a leader or follower in one place. No assertion changes.

--- a/src/main/java/cacheproxy/lab/sockets/SocketRun.java
+++ b/src/main/java/cacheproxy/lab/sockets/SocketRun.java
@@ -756,88 +756,73 @@
      * Returns early if a proxy exits unexpectedly.
      */
     private void monitor(Consumer<Progress> progress) throws InterruptedException {
-        double longestMs = experiment.load().longestDeadlineMs();
-        double faultsEndAt = experiment.faults().stream().mapToDouble(Fault::endMs).max().orElse(0);
-        double endAt =
-                Math.max(
-                        experiment.durationS() * MS_PER_S
-                                + longestMs
-                                + SETTLING_TIME_MS
-                                + 2 * experiment.rules().slackMs(),
-                        experiment.faults().stream().anyMatch(f -> f.kind() == Fault.Kind.HOSTILE)
-                                ? faultsEndAt + HOSTILE_TIMEOUT_MS + SETTLING_TIME_MS
-                                : 0);
-        double[] cpuS = new double[proxies.size()];
-        double[] previousCpuS = new double[proxies.size()];
-        double[] systemS = new double[proxies.size()];
-        double[] previousSystemS = new double[proxies.size()];
-        double maxResidentMb = 0;
-        int maxDescriptors = 0;
-        while (clock.now() < endAt) {
+        double endMs = endMs();
+        UsageTotals usageTotals = new UsageTotals(proxies.size());
+        while (clock.now() < endMs) {
             int level = 0;
             for (int i = 0; i < proxies.size(); i++) {
                 ProxyProcess proxy = proxies.get(i);
                 level = Math.max(level, proxy.controlLevel());
                 ProxyProcess.Usage usage = proxy.readUsage();
                 if (usage != null) {
-                    // CPU time before the start of the run is not caused by requests. The counters
-                    // of a restarted proxy begin at 0.
-                    cpuS[i] +=
-                            clock.now() < 0
-                                    ? 0
-                                    : Math.max(
-                                            0,
-                                            usage.cpuS()
-                                                    - (usage.cpuS() >= previousCpuS[i]
-                                                            ? previousCpuS[i]
-                                                            : 0));
-                    systemS[i] +=
-                            clock.now() < 0
-                                    ? 0
-                                    : Math.max(
-                                            0,
-                                            usage.systemS()
-                                                    - (usage.cpuS() >= previousCpuS[i]
-                                                            ? previousSystemS[i]
-                                                            : 0));
-                    previousCpuS[i] = usage.cpuS();
-                    previousSystemS[i] = usage.systemS();
-                    maxResidentMb = Math.max(maxResidentMb, usage.residentMb());
-                    maxDescriptors = Math.max(maxDescriptors, usage.descriptors());
+                    usageTotals.add(i, usage, clock.now() >= 0);
                 }
                 if (proxy.unexpectedExitCode() != null) {
-                    violations.add(
-                            new Violation(
-                                    Rule.CRASH,
-                                    proxy.name,
-                                    clock.now(),
-                                    "the proxy exited with code "
-                                            + proxy.unexpectedExitCode()
-                                            + " without a signal from the testbed"));
+                    reportUnexpectedExit(proxy);
                     return;
                 }
             }
-            int second = (int) (clock.now() / MS_PER_S);
-            if (second >= 0 && second < maxControlLevels.length && clock.now() >= 0) {
-                maxControlLevels[second] = Math.max(maxControlLevels[second], level);
-            }
+            recordControlLevel(level);
             progress.accept(currentProgress(level));
             Thread.sleep(POLL_INTERVAL_MS);
         }
         if (experiment.gossip().enabled()) {
-            extraFigures.putAll(membership.figures());
-            if (policy.isEnabled()) {
-                extraFigures.putAll(policy.ledger().figures());
-                violations.addAll(policy.ledger().violations());
-            }
-            extraFigures.put(
-                    "gossip.bytes_per_s",
-                    proxies.stream().mapToDouble(ProxyProcess::gossipBytesPerS).max().orElse(0));
-        }
-        extraFigures.put("proxy.cpu_s", java.util.Arrays.stream(cpuS).sum());
-        extraFigures.put("proxy.cpu_system_s", java.util.Arrays.stream(systemS).sum());
-        extraFigures.put("proxy.resident_mb_max", maxResidentMb);
-        extraFigures.put("proxy.descriptors_max", (double) maxDescriptors);
+            addGossipFigures();
+        }
+        usageTotals.addFiguresTo(extraFigures);
+    }
+
+    /** When the last request and the last hostile client should have ended. */
+    private double endMs() {
+        double requestsEndMs =
+                experiment.durationS() * MS_PER_S
+                        + experiment.load().longestDeadlineMs()
+                        + SETTLING_TIME_MS
+                        + 2 * experiment.rules().slackMs();
+        if (experiment.faults().stream().noneMatch(f -> f.kind() == Fault.Kind.HOSTILE)) {
+            return requestsEndMs;
+        }
+        double faultsEndMs = experiment.faults().stream().mapToDouble(Fault::endMs).max().orElse(0);
+        return Math.max(requestsEndMs, faultsEndMs + HOSTILE_TIMEOUT_MS + SETTLING_TIME_MS);
+    }
+
+    private void reportUnexpectedExit(ProxyProcess proxy) {
+        violations.add(
+                new Violation(
+                        Rule.CRASH,
+                        proxy.name,
+                        clock.now(),
+                        "the proxy exited with code "
+                                + proxy.unexpectedExitCode()
+                                + " without a signal from the testbed"));
+    }
+
+    private void recordControlLevel(int level) {
+        int second = (int) (clock.now() / MS_PER_S);
+        if (second >= 0 && second < maxControlLevels.length && clock.now() >= 0) {
+            maxControlLevels[second] = Math.max(maxControlLevels[second], level);
+        }
+    }
+
+    private void addGossipFigures() {
+        extraFigures.putAll(membership.figures());
+        if (policy.isEnabled()) {
+            extraFigures.putAll(policy.ledger().figures());
+            violations.addAll(policy.ledger().violations());
+        }
+        extraFigures.put(
+                "gossip.bytes_per_s",
+                proxies.stream().mapToDouble(ProxyProcess::gossipBytesPerS).max().orElse(0));
     }
 
     private Progress currentProgress(int level) {
--- a/src/test/java/cacheproxy/gossip/BlockedEventLoopSocketsTest.java
+++ b/src/test/java/cacheproxy/gossip/BlockedEventLoopSocketsTest.java
@@ -88,7 +88,7 @@
 
     private void startAll() throws Exception {
         for (String name : NAMES) {
-            KeyFiles.generate(name, key(name), directory.resolve("ring"));
+            KeyFiles.generate(name, key(name), GossipTestOptions.ring(directory));
         }
         for (String name : NAMES) {
             sockets.add(
@@ -114,22 +114,11 @@
     }
 
     private Path key(String name) {
-        return directory.resolve(name + ".key");
+        return GossipTestOptions.key(directory, name);
     }
 
     private GossipSocket open(String name, List<String> seeds) throws Exception {
-        Options.Gossip options =
-                new Options.Gossip(
-                        true,
-                        "127.0.0.1:0",
-                        "",
-                        seeds,
-                        key(name).toString(),
-                        directory.resolve("ring").toString(),
-                        65_536,
-                        1000,
-                        "",
-                        8);
+        Options.Gossip options = GossipTestOptions.of(directory, name, seeds, "");
         return GossipSocket.open(
                 group.next(),
                 this::readClock,
--- a/src/test/java/cacheproxy/gossip/GossipSocketFailuresTest.java
+++ b/src/test/java/cacheproxy/gossip/GossipSocketFailuresTest.java
@@ -68,28 +68,17 @@
     }
 
     private Path key(String name) {
-        return directory.resolve(name + ".key");
+        return GossipTestOptions.key(directory, name);
     }
 
     private Path ring() {
-        return directory.resolve("ring");
+        return GossipTestOptions.ring(directory);
     }
 
     private GossipSocket open(String name, List<String> seeds, FaultSchedule schedule)
             throws Exception {
         long from = System.nanoTime();
-        Options.Gossip options =
-                new Options.Gossip(
-                        true,
-                        "127.0.0.1:0",
-                        "",
-                        seeds,
-                        key(name).toString(),
-                        ring().toString(),
-                        65_536,
-                        1000,
-                        "",
-                        8);
+        Options.Gossip options = GossipTestOptions.of(directory, name, seeds, "");
         return GossipSocket.open(
                 group.next(),
                 () -> (System.nanoTime() - from) / 1e6,
--- a/src/test/java/cacheproxy/gossip/KeysTest.java
+++ b/src/test/java/cacheproxy/gossip/KeysTest.java
@@ -65,17 +65,7 @@
                             group.next(),
                             () -> (System.nanoTime() - startedNs) / 1e6,
                             name.hashCode(),
-                            new Options.Gossip(
-                                    true,
-                                    "127.0.0.1:0",
-                                    "",
-                                    seeds,
-                                    key(name).toString(),
-                                    ring().toString(),
-                                    65_536,
-                                    1000,
-                                    membersSocket,
-                                    8),
+                            GossipTestOptions.of(directory, name, seeds, membersSocket),
                             this);
             Node node = new Node("node-0", "std", "a", 0, 1, 0, Availability.UP);
             runOnLoop(() -> socket.updateNodes(EndpointListKind.SNAPSHOT, List.of(node)));
@@ -134,11 +124,11 @@
     }
 
     private Path key(String name) {
-        return directory.resolve(name + ".key");
+        return GossipTestOptions.key(directory, name);
     }
 
     private Path ring() {
-        return directory.resolve("ring");
+        return GossipTestOptions.ring(directory);
     }
 
     private static void await(String description, BooleanSupplier condition)
--- a/src/test/java/cacheproxy/proxy/CloseDelimitedResponsesTest.java
+++ b/src/test/java/cacheproxy/proxy/CloseDelimitedResponsesTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
@@ -118,22 +117,10 @@
         return body.length < length ? null : new String(body, StandardCharsets.ISO_8859_1);
     }
 
-    /** Reads chunks up to the last one; returns null if the connection ends or breaks before. */
+    /** Reads a chunked body; returns null if the connection ends or breaks before its end. */
     private static String readChunked(InputStream in) {
-        ByteArrayOutputStream body = new ByteArrayOutputStream();
         try {
-            while (true) {
-                String size = TestServer.readUntil("\r\n", in);
-                int bytes = size == null ? -1 : Integer.parseInt(size.trim(), 16);
-                String chunk = bytes < 0 ? null : readExactly(in, bytes);
-                if (chunk == null || TestServer.readUntil("\r\n", in) == null) {
-                    return null;
-                }
-                if (bytes == 0) {
-                    return body.toString(StandardCharsets.ISO_8859_1);
-                }
-                body.writeBytes(chunk.getBytes(StandardCharsets.ISO_8859_1));
-            }
+            return TestServer.readChunkedBody(in);
         } catch (IOException e) {
             return null;
         }
--- a/src/test/java/cacheproxy/proxy/SlowResponseTest.java
+++ b/src/test/java/cacheproxy/proxy/SlowResponseTest.java
@@ -39,31 +39,12 @@
         return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
     }
 
-    /** Reads the chunks up to the last one; returns null if the connection ends before. */
-    private static String readChunks(InputStream in) throws IOException {
-        StringBuilder body = new StringBuilder();
-        while (true) {
-            String size = TestServer.readUntil("\r\n", in);
-            if (size == null) {
-                return null;
-            }
-            int bytes = Integer.parseInt(size.trim(), 16);
-            body.append(new String(in.readNBytes(bytes)));
-            if (TestServer.readUntil("\r\n", in) == null) {
-                return null;
-            }
-            if (bytes == 0) {
-                return body.toString();
-            }
-        }
-    }
-
     private String readStreamedResponse() throws IOException {
         InputStream in = client.socket().getInputStream();
         String head = TestServer.readUntil("\r\n\r\n", in);
         assertEquals(200, ProxyFixture.status(head));
         assertTrue(head.toLowerCase().contains("transfer-encoding: chunked"), head);
-        return readChunks(in);
+        return TestServer.readChunkedBody(in);
     }
 
     private TestServer.Connection startResponse(double budgetS, String head) throws Exception {
--- a/src/test/java/cacheproxy/proxy/TestServer.java
+++ b/src/test/java/cacheproxy/proxy/TestServer.java
@@ -143,6 +143,25 @@
         return text.toString();
     }
 
+    /** Reads a chunked body; returns null if the connection ends before the last chunk. */
+    static String readChunkedBody(InputStream in) throws IOException {
+        StringBuilder body = new StringBuilder();
+        while (true) {
+            String size = readUntil("\r\n", in);
+            if (size == null) {
+                return null;
+            }
+            byte[] chunk = in.readNBytes(Integer.parseInt(size.trim(), 16));
+            body.append(new String(chunk, StandardCharsets.ISO_8859_1));
+            if (readUntil("\r\n", in) == null) {
+                return null;
+            }
+            if (chunk.length == 0) {
+                return body.toString();
+            }
+        }
+    }
+
     /** Sends one call to an operators' address and returns the response. */
     static String callOperators(InetSocketAddress admin, String requestLine) throws IOException {
         try (Connection operator = connect(admin)) {
--- a/src/test/java/cacheproxy/raft/StreamSocketsTest.java
+++ b/src/test/java/cacheproxy/raft/StreamSocketsTest.java
@@ -218,6 +218,17 @@
                                 .orElse(null));
     }
 
+    /** Returns the name of the leader, or of a control machine that is not the leader. */
+    private String controlMachineName(boolean leading) {
+        return onLoop(
+                () ->
+                        services.entrySet().stream()
+                                .filter(e -> e.getValue().machine().isLeader() == leading)
+                                .findFirst()
+                                .orElseThrow()
+                                .getKey());
+    }
+
     private List<Proxy> startProxies(Map<String, InetSocketAddress> knownServers)
             throws InterruptedException {
         List<Proxy> all = new ArrayList<>();
@@ -272,14 +283,7 @@
                 "all proxies have all changes",
                 () -> all.stream().allMatch(p -> hasReceived(p, 10) && p.connectedServer != null));
         // The leader is stopped, so that the others also have to elect a new one.
-        String lost =
-                onLoop(
-                        () ->
-                                services.entrySet().stream()
-                                        .filter(e -> e.getValue().machine().isLeader())
-                                        .findFirst()
-                                        .orElseThrow()
-                                        .getKey());
+        String lost = controlMachineName(true);
         assertTrue(
                 all.stream().anyMatch(p -> lost.equals(p.connectedServer)),
                 "it serves some proxies");
@@ -325,14 +329,7 @@
     @Test
     void proxiesWithoutAnotherServerStayBehindAndAreReported() throws Exception {
         await("a leader is elected", () -> leader() != null);
-        String lost =
-                onLoop(
-                        () ->
-                                services.entrySet().stream()
-                                        .filter(e -> !e.getValue().machine().isLeader())
-                                        .findFirst()
-                                        .orElseThrow()
-                                        .getKey());
+        String lost = controlMachineName(false);
         List<Proxy> pinned = startProxies(Map.of(lost, servers.get(lost)));
         publish(0, 1);
         await(
@@ -373,14 +370,7 @@
         await("all proxies have all changes", () -> all.stream().allMatch(p -> hasReceived(p, 75)));
         assertTrue(all.stream().allMatch(p -> p.resets.size() == 1));
         // A control machine with a damaged file does not start; the others keep serving.
-        String damaged =
-                onLoop(
-                        () ->
-                                services.entrySet().stream()
-                                        .filter(e -> !e.getValue().machine().isLeader())
-                                        .findFirst()
-                                        .orElseThrow()
-                                        .getKey());
+        String damaged = controlMachineName(false);
         stop(damaged);
         Path log = folder.resolve(damaged).resolve("log");
         Files.writeString(log, Files.readString(log).replaceFirst("\"term\":", "\"term\":1"));
@@ -396,14 +386,7 @@
     void controlMachineRejoinsAfterDiskRecoversAndNoChangeIsMissed() throws Exception {
         List<Proxy> all = startProxies(servers);
         publish(0, 20);
-        String faulty =
-                onLoop(
-                        () ->
-                                services.entrySet().stream()
-                                        .filter(e -> !e.getValue().machine().isLeader())
-                                        .findFirst()
-                                        .orElseThrow()
-                                        .getKey());
+        String faulty = controlMachineName(false);
         stop(faulty);
         FaultyFiles disk = new FaultyFiles();
         startService(faulty, servers.get(faulty), disk);
