Derive what is being aggregated from its head; plainer words

MessageAggregator kept a flag beside the head of the message that it aggregates; the head is now null while there is none. The second check in streamAggregated is gone, as its only caller has made it. SocketRun reads the clock once for a sample. Behaviour and assertions are unchanged.

--- a/src/main/java/cacheproxy/lab/sockets/SocketRun.java
+++ b/src/main/java/cacheproxy/lab/sockets/SocketRun.java
@@ -808,8 +808,9 @@
     }
 
     private void recordControlLevel(int level) {
-        int second = (int) (clock.now() / MS_PER_S);
-        if (second >= 0 && second < maxControlLevels.length && clock.now() >= 0) {
+        double nowMs = clock.now();
+        int second = (int) (nowMs / MS_PER_S);
+        if (nowMs >= 0 && second < maxControlLevels.length) {
             maxControlLevels[second] = Math.max(maxControlLevels[second], level);
         }
     }
--- a/src/main/java/cacheproxy/proxy/MessageAggregator.java
+++ b/src/main/java/cacheproxy/proxy/MessageAggregator.java
@@ -18,7 +18,7 @@
  * Aggregates messages of up to 64 KiB and passes each on as one full message. Of a longer message
  * it passes on the head as soon as the length is known to exceed that, and then the content as it
  * arrives; so a connection never buffers more than those 64 KiB. A shorter message is passed on in
- * the same way if the memory that all connections share has no room for its body, or on request.
+ * the same way if the memory that all connections share is too full for its body, or on request.
  */
 abstract class MessageAggregator extends ChannelInboundHandlerAdapter {
 
@@ -30,13 +30,13 @@
 
     private final BodyMemory memory;
     private ChannelHandlerContext context;
+
+    /** The head of the message that is being aggregated; null while there is none. */
     private HttpMessage head;
+
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
     private long receivedBytes;
 
-    /** Whether a part of a message has arrived, of which nothing was passed on yet. */
-    private boolean aggregating;
-
     /** Whether the message is passed on as it arrives. */
     private boolean streaming;
 
@@ -63,14 +63,12 @@
      * message or its head is still to come.
      */
     HttpMessage aggregatedHead() {
-        return aggregating ? head : null;
+        return head;
     }
 
-    /** Passes on what has arrived of the aggregated message, and the rest as it arrives. */
+    /** Passes on what has arrived of the message being aggregated, and the rest as it arrives. */
     void streamAggregated() {
-        if (aggregating) {
-            startStreaming(context);
-        }
+        startStreaming(context);
     }
 
     @Override
@@ -85,20 +83,21 @@
     }
 
     private void startMessage(ChannelHandlerContext ctx, HttpMessage message) {
-        head = message;
+        head = null;
         receivedBytes = 0;
         long length = declaredLength(message);
         discarding = message.decoderResult().isFailure() || length > MAX_MESSAGE_BYTES;
         streaming = !discarding && length > MAX_AGGREGATED_BYTES;
         if (message.decoderResult().isFailure()) {
-            fireAggregated(ctx, Unpooled.EMPTY_BUFFER);
+            fireAggregated(ctx, message, Unpooled.EMPTY_BUFFER);
         } else if (discarding) {
             fireTooLong(ctx);
         } else {
             headAccepted(ctx, message);
-            aggregating = !streaming;
             if (streaming) {
                 ctx.fireChannelRead(message);
+            } else {
+                head = message;
             }
         }
     }
@@ -116,10 +115,10 @@
         }
     }
 
-    private void fireAggregated(ChannelHandlerContext ctx, ByteBuf content) {
-        aggregating = false;
-        FullHttpMessage aggregated = aggregate(head, content);
-        aggregated.setDecoderResult(head.decoderResult());
+    private void fireAggregated(
+            ChannelHandlerContext ctx, HttpMessage messageHead, ByteBuf content) {
+        FullHttpMessage aggregated = aggregate(messageHead, content);
+        aggregated.setDecoderResult(messageHead.decoderResult());
         ctx.fireChannelRead(aggregated);
     }
 
@@ -146,7 +145,7 @@
         } else if (part.decoderResult().isFailure()) {
             discarding = true;
             head.setDecoderResult(part.decoderResult());
-            fireAggregated(ctx, detachBody());
+            fireAggregated(ctx, detachHead(), detachBody());
             part.release();
         } else if (receivedBytes > MAX_AGGREGATED_BYTES || !append(part.content())) {
             startStreaming(ctx);
@@ -154,7 +153,7 @@
         } else {
             part.release();
             if (part instanceof LastHttpContent) {
-                fireAggregated(ctx, detachBody());
+                fireAggregated(ctx, detachHead(), detachBody());
             }
         }
     }
@@ -166,14 +165,19 @@
     }
 
     private void startStreaming(ChannelHandlerContext ctx) {
-        aggregating = false;
         streaming = true;
-        ctx.fireChannelRead(head);
+        ctx.fireChannelRead(detachHead());
         if (body.isReadable()) {
             ctx.fireChannelRead(new DefaultHttpContent(detachBody()));
         }
     }
 
+    private HttpMessage detachHead() {
+        HttpMessage detached = head;
+        head = null;
+        return detached;
+    }
+
     private ByteBuf detachBody() {
         ByteBuf detached = body;
         body = Unpooled.EMPTY_BUFFER;
@@ -193,7 +197,7 @@
 
     private void release() {
         ReferenceCountUtil.release(detachBody());
-        aggregating = false;
+        head = null;
         discarding = true;
     }
 }
--- a/src/main/java/cacheproxy/proxy/NodePool.java
+++ b/src/main/java/cacheproxy/proxy/NodePool.java
@@ -230,7 +230,7 @@
         target.idle.clear();
         pausing.stream().filter(c -> c.owner() == target).forEach(all::add);
         pausing.removeAll(all);
-        all.forEach(c -> c.close());
+        all.forEach(NodeConnection::close);
     }
 
     int connectionCount() {
--- a/src/main/java/cacheproxy/proxy/Payload.java
+++ b/src/main/java/cacheproxy/proxy/Payload.java
@@ -40,7 +40,7 @@
      * Builds the request for one attempt, with the body unless that is streamed.
      *
      * @param id the request's id
-     * @param budgetMs the time that the node is told it has, in milliseconds
+     * @param budgetMs the time budget that is stated to the node, in milliseconds
      */
     HttpRequest newNodeRequest(String id, double budgetMs) {
         HttpRequest request =
--- a/src/test/java/cacheproxy/proxy/MessageAggregatorTest.java
+++ b/src/test/java/cacheproxy/proxy/MessageAggregatorTest.java
@@ -20,7 +20,7 @@
 import io.netty.util.ReferenceCountUtil;
 import org.junit.jupiter.api.Test;
 
-/** Bodies are aggregated only as far as the memory that all connections share has room. */
+/** Bodies are aggregated only up to the limit of the memory that all connections share. */
 class MessageAggregatorTest {
 
     private static final int LIMIT_BYTES = 20_000;
--- a/src/test/java/cacheproxy/proxy/SlowRequestBodiesTest.java
+++ b/src/test/java/cacheproxy/proxy/SlowRequestBodiesTest.java
@@ -127,9 +127,9 @@
                 assertEquals(200, status(headers("GET", "read" + i, "read") + "\r\n"));
             }
         }
-        String rest = "v".repeat(BODY_BYTES - pieces * PIECE_BYTES);
+        String lastPiece = "v".repeat(BODY_BYTES - pieces * PIECE_BYTES);
         for (TestServer.Connection writer : writers) {
-            writer.write(rest);
+            writer.write(lastPiece);
         }
         for (TestServer.Connection writer : writers) {
             assertNotEquals(-1, ProxyFixture.status(writer.read()), "no answer to a body");
