Log what becomes of requests that are not served, with id, cause and state

Attempts that fail, requests that are refused, failed or left, responses that are broken off and client connections that the proxy ends each have a line with the request's id and the cause, each kind with a rate limit of its own; the tally counts late answers, broken responses and closes by cause.

--- a/src/main/java/cacheproxy/proxy/ClientServer.java
+++ b/src/main/java/cacheproxy/proxy/ClientServer.java
@@ -43,6 +43,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Queue;
 import java.util.Set;
@@ -131,6 +132,7 @@
     private final Map<String, ServiceClass> classes = new HashMap<>();
     private final Set<Connection> connections = new LinkedHashSet<>();
     private final Log log = new Log();
+    private final Log closeLog = new Log();
 
     /** Null until this server listens. */
     private Channel listener;
@@ -522,6 +524,7 @@
          * rejected first, as a bare close would give its client no response.
          */
         void evict() {
+            logClose(CloseCause.EVICTED);
             boolean unread = hasUnreadInput();
             if (phase == Phase.READING || phase == Phase.AWAITING_FIRST_BYTE && unread) {
                 reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
@@ -559,9 +562,10 @@
                                 closesAfterResponse() || hasTooManyIdle()
                                         ? SHORT_IDLE_TIMEOUT_MS
                                         : IDLE_TIMEOUT_MS);
-                case CLOSING -> halfClose.sweep(elapsedMs);
+                case CLOSING -> sweepClosing(elapsedMs);
                 case READING -> {
                     if (isTooSlow(nowNanos, elapsedMs)) {
+                        logClose(CloseCause.SLOW_REQUEST);
                         reject(HttpResponseStatus.REQUEST_TIMEOUT);
                     }
                 }
@@ -569,17 +573,44 @@
                     if (upload == null || !upload.isWaitingForClient()) {
                         restartTimer();
                     } else if (isTooSlow(nowNanos, elapsedMs)) {
+                        logClose(CloseCause.SLOW_REQUEST);
                         abortRequest(HttpResponseStatus.REQUEST_TIMEOUT);
                     }
                 }
                 case STREAMING -> {
                     if (elapsedMs >= RESPONSE_STALL_TIMEOUT_MS) {
+                        logClose(CloseCause.RESPONSE_STALLED);
                         channel.close();
                     }
                 }
             }
         }
 
+        private void sweepClosing(long elapsedMs) {
+            if (halfClose.hasExpired(elapsedMs)) {
+                if (!halfClose.isWriteDone()) {
+                    logClose(CloseCause.LAST_RESPONSE_STALLED);
+                }
+                channel.close();
+            }
+        }
+
+        private void logClose(CloseCause cause) {
+            proxy.tally().closed[cause.ordinal()]++;
+            closeLog.warnLimited(
+                    "client_connection_closed",
+                    "cause",
+                    cause.name().toLowerCase(Locale.ROOT),
+                    "phase",
+                    phase.name().toLowerCase(Locale.ROOT),
+                    "request",
+                    openRequestId == null ? "none" : openRequestId,
+                    "pipelined",
+                    pipelined.size(),
+                    "received_bytes",
+                    receivedBytes);
+        }
+
         private boolean isTooSlow(long nowNanos, long elapsedMs) {
             boolean paused =
                     TimeUnit.NANOSECONDS.toMillis(nowNanos - lastReadNanos)
@@ -662,6 +693,7 @@
             if (part.decoderResult().isFailure()) {
                 // The body is malformed; a node that received part of it never gets its last byte.
                 part.release();
+                logClose(CloseCause.MALFORMED_REQUEST);
                 abortRequest(HttpResponseStatus.BAD_REQUEST);
             } else {
                 hasPartialRequest =
@@ -693,6 +725,7 @@
             supportsChunked = request.protocolVersion().isKeepAliveDefault();
             if (request.decoderResult().isFailure()
                     || StrictHttp.hasUnsupportedTransferCoding(request)) {
+                logClose(CloseCause.MALFORMED_REQUEST);
                 reject(HttpResponseStatus.BAD_REQUEST);
                 return;
             }
@@ -977,6 +1010,7 @@
          * Rejects all pipelined requests. None of them was sent on, so each may safely be retried.
          */
         private void rejectPipelined() {
+            logClose(CloseCause.PIPELINE_OVERFLOW);
             for (PipelinedRequest each = pipelined.poll(); each != null; each = pipelined.poll()) {
                 each.release();
                 keepAlive = !pipelined.isEmpty();
--- /dev/null
+++ b/src/main/java/cacheproxy/proxy/EndCause.java
@@ -0,0 +1,22 @@
+package cacheproxy.proxy;
+
+/** Why a request ended without being served. The log shows the names in lower case. */
+enum EndCause {
+    /** The decision module rejected or failed it. */
+    DECISION,
+
+    /** The decision module had not answered by the request's deadline. */
+    DEADLINE,
+
+    /** The decision module broke down while it handled the request. */
+    MODULE_FAULT,
+
+    /** The process terminates. */
+    SHUTDOWN,
+
+    /** As many requests are open as the configuration allows. */
+    REQUEST_LIMIT,
+
+    /** The client closed its connection. */
+    CLIENT_LEFT
+}
--- a/src/main/java/cacheproxy/proxy/HalfClose.java
+++ b/src/main/java/cacheproxy/proxy/HalfClose.java
@@ -67,13 +67,11 @@
     }
 
     /**
-     * Closes the connection completely if the client has used up its time; {@code idleMs} is the
-     * time since it last accepted or sent something.
+     * Whether the client has used up its time and the connection is to be closed completely; {@code
+     * idleMs} is the time since it last accepted or sent something.
      */
-    void sweep(long idleMs) {
-        if (idleMs >= (isWriteDone() ? LINGER_TIMEOUT_MS : WRITE_STALL_TIMEOUT_MS)) {
-            channel.close();
-        }
+    boolean hasExpired(long idleMs) {
+        return idleMs >= (isWriteDone() ? LINGER_TIMEOUT_MS : WRITE_STALL_TIMEOUT_MS);
     }
 
     /** Whether everything issued has been written, or failed to be. */
--- a/src/main/java/cacheproxy/proxy/Proxy.java
+++ b/src/main/java/cacheproxy/proxy/Proxy.java
@@ -20,7 +20,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
-import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
@@ -101,8 +100,8 @@
 
     private final Queue<QueuedEvent> queuedEvents = new ArrayDeque<>();
     private final List<Runnable> requestedActions = new ArrayList<>();
-    private final Log log = new Log();
     private final RequestTally tally = new RequestTally();
+    private final RequestLog requestLog;
     private final IncompleteResponsePolicy incompleteResponses;
     private Runnable discoverySubscriber = () -> {};
     private Runnable endpointListListener = () -> {};
@@ -133,6 +132,7 @@
         this.pool = pool;
         this.maxOpenRequests = maxOpenRequests;
         this.incompleteResponses = new IncompleteResponsePolicy(loop, clock);
+        this.requestLog = new RequestLog(clock, tally);
         this.repeatWindowsMs =
                 settings.classes().stream()
                         .filter(c -> c.effect() == Router.Effect.KEYED)
@@ -259,16 +259,13 @@
             // Above the configured limit, or after the final responses, the module is not asked.
             // Nothing has run, so the rejection is truthful.
             tally.refused++;
+            requestLog.requestNotAccepted(
+                    request, terminating ? EndCause.SHUTDOWN : EndCause.REQUEST_LIMIT);
             payload.release();
             client.onRejected(0);
             return;
         }
-        Call call =
-                new Call(
-                        request,
-                        payload,
-                        client,
-                        clock.now() + request.uploadMs() + request.budgetMs());
+        Call call = new Call(request, payload, client, clock.now());
         calls.put(request.id(), call);
         pendingRequests++;
         call.deadlineTimer =
@@ -279,7 +276,9 @@
         if (payload.upload() != null) {
             payload.upload().onComplete(() -> uploadCompleted(call));
         }
-        dispatch(now -> router.requestReceived(now, request, this), () -> answerAfterFault(call));
+        dispatch(
+                now -> router.requestReceived(now, request, this),
+                () -> answerAfterFault(call, EndCause.MODULE_FAULT));
     }
 
     /**
@@ -299,8 +298,8 @@
                         () -> deadlinePassed(call),
                         clock.nanosUntil(latestEndMs),
                         TimeUnit.NANOSECONDS);
-        if (call.pendingAttempt != null && call.pendingAttempt.upstream != null) {
-            call.pendingAttempt.upstream.setTimeout(latestEndMs - call.uploadEndMs);
+        if (call.pendingAttempt != null) {
+            call.pendingAttempt.setTimeout(latestEndMs - call.uploadEndMs);
         }
     }
 
@@ -313,6 +312,7 @@
 
     private void closeForDisconnect(Call call) {
         tally.gone++;
+        requestLog.requestEnded(call, EndCause.CLIENT_LEFT);
         markFinished(call);
         dispatch(now -> router.clientDisconnected(now, call.clientRequest.id(), this), () -> {});
     }
@@ -333,12 +333,14 @@
             int attempt,
             String node,
             double sentAt,
+            UpstreamAttempt upstreamAttempt,
             Outcome outcome,
             FullHttpResponse response) {
         call.pendingAttempt = null;
         call.provenNotRun &= outcome.provesNotRun();
         call.lastOutcome = outcome;
         countOutcome(node, outcome);
+        requestLog.attemptEnded(call, attempt, upstreamAttempt, sentAt, outcome);
         if (outcome == Outcome.OK && node.equals(originId)) {
             tally.addServedFetch(clock.now() - sentAt);
         }
@@ -429,7 +431,7 @@
                         id, attempt, node, outcome, elapsedMs, finished, cacheStatus, Map.of());
         dispatch(
                 now -> router.attemptEnded(now, end, this),
-                call == null ? () -> {} : () -> answerAfterFault(call));
+                call == null ? () -> {} : () -> answerAfterFault(call, EndCause.MODULE_FAULT));
     }
 
     // Calls of the decision module, one at a time
@@ -472,26 +474,31 @@
      * Answers a request after a fault of the module. The request is rejected only if it provably
      * has not run, because a rejection promises that; otherwise it fails.
      */
-    private void answerAfterFault(Call call) {
+    private void answerAfterFault(Call call, EndCause cause) {
         if (call.finished || call.pendingAttempt != null) {
             return;
         }
+        answerAsProven(call, cause);
+        dispatch(now -> router.clientDisconnected(now, call.clientRequest.id(), this), () -> {});
+    }
+
+    /** Rejects a request that provably has not run, and fails any other. */
+    private void answerAsProven(Call call, EndCause cause) {
         if (call.provenNotRun) {
-            rejectNow(call, 0);
+            rejectNow(call, 0, cause);
         } else {
-            failNow(call);
+            failNow(call, cause);
         }
-        dispatch(now -> router.clientDisconnected(now, call.clientRequest.id(), this), () -> {});
     }
 
     /** The module should have answered by now; without an answer the request would be lost. */
     private void deadlinePassed(Call call) {
         if (!call.finished) {
-            log.warnLimited("request_overdue", "request", call.clientRequest.id());
+            requestLog.requestOverdue(call);
             if (call.pendingAttempt != null) {
                 call.pendingAttempt.cancel();
             }
-            answerAfterFault(call);
+            answerAfterFault(call, EndCause.DEADLINE);
         }
     }
 
@@ -502,11 +509,11 @@
             if (call.finished) {
                 continue;
             }
-            PendingAttempt pending = call.pendingAttempt;
+            Call.PendingAttempt pending = call.pendingAttempt;
             if (call.provenNotRun && (pending == null || !pending.isWritten())) {
-                rejectNow(call, 0);
+                rejectNow(call, 0, EndCause.SHUTDOWN);
             } else {
-                failNow(call);
+                failNow(call, EndCause.SHUTDOWN);
             }
             if (pending != null) {
                 pending.cancel();
@@ -538,12 +545,13 @@
 
     @Override
     public void reject(String request, double retryAfterMs) {
-        requestedActions.add(() -> ifOpen(request, call -> rejectNow(call, retryAfterMs)));
+        requestedActions.add(
+                () -> ifOpen(request, call -> rejectNow(call, retryAfterMs, EndCause.DECISION)));
     }
 
     @Override
     public void fail(String request) {
-        requestedActions.add(() -> ifOpen(request, this::failNow));
+        requestedActions.add(() -> ifOpen(request, call -> failNow(call, EndCause.DECISION)));
     }
 
     @Override
@@ -580,14 +588,16 @@
         }
     }
 
-    private void rejectNow(Call call, double retryAfterMs) {
+    private void rejectNow(Call call, double retryAfterMs, EndCause cause) {
         tally.countRefused(call.lastOutcome);
+        requestLog.requestEnded(call, cause);
         markFinished(call);
         call.client.onRejected(retryAfterMs);
     }
 
-    private void failNow(Call call) {
+    private void failNow(Call call, EndCause cause) {
         tally.failed++;
+        requestLog.requestEnded(call, cause);
         markFinished(call);
         call.client.onFailed();
     }
@@ -646,8 +656,9 @@
             return;
         }
         double attemptEndMs = now + attemptTimeoutMs;
-        PendingAttempt pending = new PendingAttempt();
+        Call.PendingAttempt pending = new Call.PendingAttempt();
         call.pendingAttempt = pending;
+        call.lastNode = node;
         if (nodeObserver != null && !node.equals(originId)) {
             nodeObserver.onAttemptSent(node);
         }
@@ -676,7 +687,13 @@
                                     Outcome outcome,
                                     FullHttpResponse response) {
                                 Proxy.this.attemptEnded(
-                                        call, attempt, node, now, outcome, response);
+                                        call,
+                                        attempt,
+                                        node,
+                                        now,
+                                        upstreamAttempt,
+                                        outcome,
+                                        response);
                             }
 
                             @Override
@@ -690,6 +707,11 @@
                                 return Proxy.this.streamingStarted(
                                         call, attempt, node, now, upstreamAttempt, head);
                             }
+
+                            @Override
+                            public void onStreamBroken(StreamEnd end, long streamedBytes) {
+                                requestLog.streamBroken(call, end, streamedBytes);
+                            }
                         });
     }
 
@@ -748,64 +770,4 @@
                             () -> {});
                 });
     }
-
-    /** The attempt in flight. The pool may end it before {@code send} has returned it. */
-    private static final class PendingAttempt {
-        private UpstreamAttempt upstream;
-
-        boolean isWritten() {
-            return upstream != null && upstream.written;
-        }
-
-        void cancelIfUnwritten() {
-            if (upstream != null) {
-                upstream.cancelIfUnwritten();
-            }
-        }
-
-        void cancel() {
-            if (upstream != null) {
-                upstream.cancel();
-            }
-        }
-    }
-
-    /**
-     * A tracked request. It is open until its final response and tracked until its last attempt has
-     * ended.
-     */
-    private static final class Call {
-        final Request clientRequest;
-        final Payload payload;
-        final Client client;
-        double deadlineMs;
-
-        /** When the last byte of a streamed body was received. */
-        double uploadEndMs;
-
-        Future<?> deadlineTimer;
-        PendingAttempt pendingAttempt;
-        int attemptCount;
-
-        /** When the first attempt that may have run was sent. */
-        double firstSentAtMs;
-
-        /** Outcome of the latest attempt that ended; null if there is none. */
-        Outcome lastOutcome;
-
-        boolean provenNotRun = true;
-        boolean finished;
-
-        Call(Request clientRequest, Payload payload, Client client, double deadlineMs) {
-            this.clientRequest = clientRequest;
-            this.payload = payload;
-            this.client = client;
-            this.deadlineMs = deadlineMs;
-        }
-
-        /** Whether a streamed body has been sent to a node already and cannot be sent again. */
-        boolean isUploadConsumed() {
-            return payload.upload() != null && payload.upload().isConsumed();
-        }
-    }
 }
--- a/src/main/java/cacheproxy/proxy/RequestTally.java
+++ b/src/main/java/cacheproxy/proxy/RequestTally.java
@@ -23,6 +23,15 @@
     int failed;
     int gone;
 
+    /** Requests that were refused or failed after their deadline. */
+    int answeredLate;
+
+    /** Responses that were being passed on and remained incomplete. */
+    int streamsBroken;
+
+    /** Clients' connections that the proxy ended, by {@link CloseCause}. */
+    final int[] closed = new int[CloseCause.values().length];
+
     /** Counts the outcome of an attempt at the origin (a fetch) or at a cache node (a look-up). */
     void countAttempt(boolean atOrigin, Outcome outcome) {
         int[] counts = atOrigin ? fetches : lookUps;
--- a/src/main/java/cacheproxy/proxy/Service.java
+++ b/src/main/java/cacheproxy/proxy/Service.java
@@ -7,6 +7,7 @@
 import cacheproxy.Router.Settings;
 import cacheproxy.config.BadFileException;
 import cacheproxy.config.Options;
+import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -657,7 +658,15 @@
                 "fetch_ms",
                 tally.meanFetchMs(),
                 "body_bytes",
-                bodyMemory.usedBytes());
+                bodyMemory.usedBytes(),
+                "direct_bytes",
+                PooledByteBufAllocator.DEFAULT.metric().usedDirectMemory(),
+                "answered_late",
+                tally.answeredLate,
+                "broken_off",
+                tally.streamsBroken,
+                "closed",
+                nonZeroCounts(CloseCause.values(), tally.closed));
         if (gossip != null) {
             gossip.logTally();
         }
@@ -688,9 +697,13 @@
     }
 
     private static String nonZeroCounts(int[] outcomes) {
-        return Arrays.stream(Outcome.values())
-                .filter(o -> outcomes[o.ordinal()] > 0)
-                .map(o -> o + "=" + outcomes[o.ordinal()])
+        return nonZeroCounts(Outcome.values(), outcomes);
+    }
+
+    private static String nonZeroCounts(Enum<?>[] names, int[] counts) {
+        return Arrays.stream(names)
+                .filter(name -> counts[name.ordinal()] > 0)
+                .map(name -> name + "=" + counts[name.ordinal()])
                 .collect(Collectors.joining(" "));
     }
 
--- a/src/main/java/cacheproxy/proxy/UpstreamAttempt.java
+++ b/src/main/java/cacheproxy/proxy/UpstreamAttempt.java
@@ -53,6 +53,9 @@
         default BodyConsumer onStreamedResponse(UpstreamAttempt attempt, HttpResponse head) {
             return null;
         }
+
+        /** A streamed response remains incomplete. */
+        default void onStreamBroken(StreamEnd end, long streamedBytes) {}
     }
 
     /** A response on its way from the node, of which nothing was passed on yet. */
@@ -104,6 +107,10 @@
     IncompleteResponse incompleteResponse;
 
     private long streamedBytes;
+
+    /** Why a streamed response remains incomplete, if its connection closes. */
+    private StreamEnd streamEnd = StreamEnd.NODE_BROKE;
+
     private Future<?> timeoutTimer;
     private Future<?> writeDeadlineTimer;
     private long writeDeadlineNanos;
@@ -139,6 +146,7 @@
         abandon(Outcome.CANCELLED);
         if (bodyConsumer != null) {
             bodyConsumer = null;
+            listener.onStreamBroken(StreamEnd.CLIENT_LEFT, streamedBytes);
             channel.close();
         }
     }
@@ -237,6 +245,7 @@
 
     /** Gives a streamed response up; its consumer is notified that it remains incomplete. */
     void closeStreaming() {
+        streamEnd = StreamEnd.NODE_SILENT;
         channel.close();
     }
 
@@ -264,6 +273,7 @@
         BodyConsumer consumer = bodyConsumer;
         bodyConsumer = null;
         if (consumer != null) {
+            listener.onStreamBroken(streamEnd, streamedBytes);
             consumer.onEnd(false);
         }
     }
