Do not begin attempts for a client whose close lies behind unread input

Cause: before each attempt the proxy looks for the end of the client's stream by reading ahead, 128 KiB for a connection and 2 MiB for all. When that was used up it took the client for present. A body that waits behind the request in progress stops reading, so a client that sends much and goes was never noticed. Change: the look has a third result, unknown. What lies behind the request in progress is then given up (those requests are rejected, and the connection closes after the answer) and discarded until its end is found. Where the body of the request itself is in the way, the request is answered, as nothing of it was sent on. Within 50 ms of its arrival a request's client counts as present, as an attempt may begin up to 100 ms after a close.

--- a/src/main/java/cacheproxy/proxy/ClientChannel.java
+++ b/src/main/java/cacheproxy/proxy/ClientChannel.java
@@ -30,6 +30,24 @@
     private static final int MAX_TOTAL_READ_AHEAD_BYTES = 2 * 1024 * 1024;
     private static final int READ_BUFFER_BYTES = 16 * 1024;
 
+    /**
+     * Most input that is discarded at once to find the end of the stream. More than the kernel
+     * buffers for a connection on both sides, so a client that sends more is still there.
+     */
+    private static final int MAX_DISCARDED_BYTES = 16 * 1024 * 1024;
+
+    /** What is known about whether the client is still there. */
+    enum Presence {
+        /** The client has not closed its side. */
+        CONNECTED,
+
+        /** The client has closed its side or reset the connection. */
+        CLOSED,
+
+        /** More input is unread than may be read ahead; an end of the stream may lie behind it. */
+        UNKNOWN
+    }
+
     private final Listener listener;
 
     /** Bytes that were read ahead and not delivered yet; null if there are none. */
@@ -47,15 +65,43 @@
      * Whether the client has closed its side or reset the connection. Reads ahead without blocking.
      */
     boolean hasClientClosed() {
-        while (!clientClosed && canReadAhead()) {
+        return presence() == Presence.CLOSED;
+    }
+
+    /** What can be told about the client without giving up input. Reads ahead without blocking. */
+    Presence presence() {
+        boolean empty = false;
+        while (!clientClosed && !empty && canReadAhead()) {
             int read = readAhead();
             clientClosed = read < 0;
-            if (read == 0) {
-                break;
-            }
+            empty = read == 0;
         }
         scheduleDelivery();
-        return clientClosed;
+        return presence(empty);
+    }
+
+    /**
+     * Discards the input that has arrived, which tells whether the client is there unless it sends
+     * without end. To be called when no more input is wanted.
+     */
+    Presence discardInput() {
+        releaseReadAhead();
+        boolean empty = false;
+        int discardedBytes = 0;
+        while (!clientClosed && !empty && discardedBytes < MAX_DISCARDED_BYTES) {
+            int read = readScratch();
+            clientClosed = read < 0;
+            empty = read == 0;
+            discardedBytes += Math.max(0, read);
+        }
+        return presence(empty || discardedBytes >= MAX_DISCARDED_BYTES);
+    }
+
+    private Presence presence(boolean seenConnected) {
+        if (clientClosed) {
+            return Presence.CLOSED;
+        }
+        return seenConnected ? Presence.CONNECTED : Presence.UNKNOWN;
     }
 
     /**
@@ -74,16 +120,19 @@
 
     /** Returns the number of bytes read; negative at the end of the stream or on an error. */
     private int readAhead() {
-        ByteBuffer scratch = listener.scratch.clear();
+        int read = readScratch();
+        if (read > 0) {
+            readAheadBuffer = readAheadBuffer == null ? alloc().heapBuffer(read) : readAheadBuffer;
+            readAheadBuffer.writeBytes(listener.scratch.flip());
+            listener.readAheadBytes += read;
+        }
+        return read;
+    }
+
+    /** Reads into the shared buffer; negative at the end of the stream or on an error. */
+    private int readScratch() {
         try {
-            int read = javaChannel().read(scratch);
-            if (read > 0) {
-                readAheadBuffer =
-                        readAheadBuffer == null ? alloc().heapBuffer(read) : readAheadBuffer;
-                readAheadBuffer.writeBytes(scratch.flip());
-                listener.readAheadBytes += read;
-            }
-            return read;
+            return javaChannel().read(listener.scratch.clear());
         } catch (IOException e) {
             return -1;
         }
--- a/src/main/java/cacheproxy/proxy/ClientServer.java
+++ b/src/main/java/cacheproxy/proxy/ClientServer.java
@@ -92,6 +92,12 @@
     /** Minimum average rate of a request's bytes after {@link #MIN_RATE_GRACE_MS}. */
     private static final long MIN_BYTES_PER_S = 48_000;
 
+    /**
+     * Time from a request's arrival during which its client counts as present. An attempt may begin
+     * up to 100 ms after its client has left.
+     */
+    private static final long PRESUMED_PRESENT_MS = 50;
+
     /** How long a streamed response may make no progress before its connection is closed. */
     private static final long RESPONSE_STALL_TIMEOUT_MS = 10_000;
 
@@ -443,6 +449,10 @@
         private boolean exemptFromDrain;
 
         private String openRequestId;
+
+        /** When the request in progress arrived, as {@link System#nanoTime()}. */
+        private long requestArrivedNanos;
+
         private boolean keepAlive;
         private boolean supportsChunked;
 
@@ -649,14 +659,50 @@
                     !channel.isActive()
                             || channel instanceof ClientChannel socket && socket.hasClientClosed();
             if (left) {
-                // Cleared first: the id may belong to another request by the time the event loop
-                // reports the close.
-                openRequestId = null;
-                channel.close();
+                closeForDisconnect();
             }
             return left;
         }
 
+        private void closeForDisconnect() {
+            // Cleared first: the id may belong to another request by the time the event loop
+            // reports the close.
+            openRequestId = null;
+            channel.close();
+        }
+
+        @Override
+        public ClientChannel.Presence presence() {
+            if (hasDisconnected()) {
+                return ClientChannel.Presence.CLOSED;
+            }
+            long openNanos = System.nanoTime() - requestArrivedNanos;
+            if (!(channel instanceof ClientChannel socket)
+                    || openNanos < TimeUnit.MILLISECONDS.toNanos(PRESUMED_PRESENT_MS)) {
+                return ClientChannel.Presence.CONNECTED;
+            }
+            ClientChannel.Presence presence = socket.presence();
+            if (presence == ClientChannel.Presence.UNKNOWN && !hasUnreadBody()) {
+                abandonInput();
+                presence = socket.discardInput();
+            }
+            if (presence == ClientChannel.Presence.CLOSED) {
+                closeForDisconnect();
+            }
+            return presence;
+        }
+
+        /**
+         * Gives up what lies behind the request in progress: the requests that wait are rejected
+         * once it is answered, and the connection then closes.
+         */
+        private void abandonInput() {
+            pipelineOverflow = true;
+            if (incomingUpload != null) {
+                incomingUpload.discard();
+            }
+        }
+
         private void reportClientGone() {
             if (openRequestId != null) {
                 String requestId = openRequestId;
@@ -783,6 +829,7 @@
             enterPhase(Phase.PROCESSING);
             hadValidRequest = true;
             openRequestId = id;
+            requestArrivedNanos = arrivedNanos;
             ByteBuf body =
                     httpRequest instanceof FullHttpRequest fullRequest
                             ? fullRequest.content().retain()
--- a/src/main/java/cacheproxy/proxy/EndCause.java
+++ b/src/main/java/cacheproxy/proxy/EndCause.java
@@ -18,5 +18,8 @@
     REQUEST_LIMIT,
 
     /** The client closed its connection. */
-    CLIENT_LEFT
+    CLIENT_LEFT,
+
+    /** So much of the client's input is unread that it may have left, and an attempt was due. */
+    CLIENT_PRESENCE_UNKNOWN
 }
--- a/src/main/java/cacheproxy/proxy/Proxy.java
+++ b/src/main/java/cacheproxy/proxy/Proxy.java
@@ -56,6 +56,12 @@
         /** Whether the client is known to have disconnected. If so, its connection is closed. */
         boolean hasDisconnected();
 
+        /**
+         * Whether the client is there, asked before an attempt begins. To find out, input behind
+         * the request in progress may be given up.
+         */
+        ClientChannel.Presence presence();
+
         void onServed(FullHttpResponse response);
 
         void onRejected(double retryAfterMs);
@@ -318,9 +324,25 @@
     }
 
     /**
-     * Whether the response is still wanted. Asks the client's side, because a disconnect may not
-     * have been read yet if the event loop is late or reading is paused.
+     * Whether an attempt may begin. Asks the client's side, because a disconnect may not have been
+     * read yet if the event loop is late or reading is paused. If that can't be told the request is
+     * answered now: nothing may begin for a client that has left, and one that is there is owed an
+     * answer.
      */
+    private boolean mayBeginAttempt(Call call) {
+        ClientChannel.Presence presence =
+                call.finished ? ClientChannel.Presence.CLOSED : call.client.presence();
+        if (!call.finished && presence == ClientChannel.Presence.CLOSED) {
+            closeForDisconnect(call);
+        } else if (presence == ClientChannel.Presence.UNKNOWN) {
+            answerAsProven(call, EndCause.CLIENT_PRESENCE_UNKNOWN);
+            dispatch(
+                    now -> router.clientDisconnected(now, call.clientRequest.id(), this), () -> {});
+        }
+        return !call.finished;
+    }
+
+    /** Whether a response of which a part has arrived is still wanted. */
     private boolean isWanted(Call call) {
         if (!call.finished && call.client.hasDisconnected()) {
             closeForDisconnect(call);
@@ -678,7 +700,7 @@
                         new UpstreamAttempt.Listener() {
                             @Override
                             public boolean isWanted() {
-                                return Proxy.this.isWanted(call);
+                                return mayBeginAttempt(call);
                             }
 
                             @Override
--- a/src/test/java/cacheproxy/proxy/ClientDisconnectTest.java
+++ b/src/test/java/cacheproxy/proxy/ClientDisconnectTest.java
@@ -6,6 +6,7 @@
 import cacheproxy.Router.Actions;
 import cacheproxy.Router.Outcome;
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
@@ -28,6 +29,12 @@
      */
     private static final long IDLE_MS = 40;
 
+    /** How long after its client's close an attempt may still begin. */
+    private static final long CLOSE_TOLERANCE_MS = 100;
+
+    /** So many connections use up the memory of all connections for reading ahead. */
+    private static final int CROWD = 17;
+
     private final EventLoopPause loopPause = new EventLoopPause();
 
     private static String get(String id) {
@@ -290,4 +297,49 @@
         assertEquals(200, ProxyFixture.status(client.read()));
         writer.join();
     }
+
+    /**
+     * The unread input of other clients has used up all memory for reading ahead, so the end of
+     * this client's stream can't be looked for by reading ahead.
+     */
+    @Test
+    void disconnectsBesideClientsWithMuchUnreadInput() throws Exception {
+        List<TestServer.Connection> crowd = new ArrayList<>();
+        try (ProxyFixture site = new ProxyFixture()) {
+            site.settings = ProxyFixture.SETTINGS.replace("\"max_open\": 4", "\"max_open\": 99");
+            site.start("automatic", "60000", "");
+            site.router.onEnd =
+                    (end, out) -> {
+                        if (!end.finished()) {
+                            out.send(end.request(), "c0", 0);
+                        }
+                    };
+            String longPut =
+                    ProxyFixture.put(
+                            "Idempotency-Key: k\r\n",
+                            "v".repeat(2 * ClientChannel.MAX_READ_AHEAD_BYTES));
+            for (int i = 0; i < CROWD; i++) {
+                crowd.add(site.client());
+                crowd.get(i).write(get("crowd" + i) + longPut);
+                TestServer.Message message = site.node.next();
+                TimeUnit.MILLISECONDS.sleep(IDLE_MS);
+                message.connection().respond(404, "");
+                assertEquals("crowd" + i, site.node.next().header("X-Call-Id"));
+            }
+            TestServer.Connection leaving = site.client();
+            leaving.write(get("left") + longPut.substring(0, longPut.length() / 3));
+            TestServer.Message message = site.node.next();
+            assertEquals("left", message.header("X-Call-Id"));
+            leaving.close();
+            TimeUnit.MILLISECONDS.sleep(CLOSE_TOLERANCE_MS);
+            message.connection().respond(404, "");
+            assertEquals("left", ScriptedRouter.awaitNext(site.router.disconnectedRequests));
+            TimeUnit.MILLISECONDS.sleep(CLOSE_TOLERANCE_MS);
+            assertTrue(site.node.receivedNothing(), "sent on after its client had left");
+        } finally {
+            for (TestServer.Connection each : crowd) {
+                each.close();
+            }
+        }
+    }
 }
