Do not cut off long responses whose body comes late or slowly

Cause: an attempt that timed out was closed if its node had been silent for 0.5 s, although the head of a response that may be long had come; the next node was then asked late and cut off 0.3 s after the deadline, as it was silent for 0.2 s. Change: a node counts as writing up to a pause of 2 s, the longest time that the service agreement lets anything be held back. After the deadline a silence of 0.45 s ends a response of under 64 KiB (so one that hung before the deadline still ends within 0.5 s of it), or of twice its node's longest pause so far, 2 s at most. What it costs: a node that hangs between the head and the body of a chunked response is no longer replaced by another.

--- a/src/main/java/cacheproxy/proxy/IncompleteResponsePolicy.java
+++ b/src/main/java/cacheproxy/proxy/IncompleteResponsePolicy.java
@@ -16,7 +16,7 @@
      * Longest pause within a response after which its node still counts as writing it, in
      * milliseconds. After a longer one another node is asked, if there is time for it.
      */
-    private static final double MAX_RESPONSE_PAUSE_MS = 500;
+    private static final double MAX_RESPONSE_PAUSE_MS = 2000;
 
     /** An attempt is the last one of a request if less than this fraction of its budget remains. */
     private static final double LAST_ATTEMPT_BUDGET_FRACTION = 0.1;
@@ -28,8 +28,14 @@
      */
     private static final double SILENT_RESPONSE_GRACE_MS = 300;
 
-    /** Silence at that time that ends the response, and the interval of further checks. */
-    private static final double SILENT_RESPONSE_MS = 200;
+    /**
+     * Silence at that time that ends the response. The response of a node that hung up to the
+     * deadline ends within half a second after it.
+     */
+    private static final double SILENT_RESPONSE_MS = 450;
+
+    /** A node that has paused before may pause this many times as long again. */
+    private static final double EARLIER_PAUSE_FACTOR = 2;
 
     private final EventLoop loop;
     private final Clock clock;
@@ -74,10 +80,18 @@
                 || upstreamAttempt.streamedBytes() > MessageAggregator.MAX_AGGREGATED_BYTES) {
             return;
         }
-        if (upstreamAttempt.isSilent(SILENT_RESPONSE_MS)) {
+        double remainingMs =
+                allowedSilenceMs(upstreamAttempt.longestPauseMs()) - upstreamAttempt.silentMs();
+        if (remainingMs <= 0) {
             upstreamAttempt.closeStreaming();
         } else {
-            scheduleSilenceCheck(upstreamAttempt, clock.now() + SILENT_RESPONSE_MS);
+            scheduleSilenceCheck(upstreamAttempt, clock.now() + remainingMs);
         }
     }
+
+    private static double allowedSilenceMs(double longestPauseMs) {
+        return Math.min(
+                MAX_RESPONSE_PAUSE_MS,
+                Math.max(SILENT_RESPONSE_MS, EARLIER_PAUSE_FACTOR * longestPauseMs));
+    }
 }
--- a/src/main/java/cacheproxy/proxy/NodeConnection.java
+++ b/src/main/java/cacheproxy/proxy/NodeConnection.java
@@ -83,6 +83,9 @@
     /** When the latest bytes were received, in nanoseconds. */
     private long lastReadNanos;
 
+    /** The longest time between two arrivals of bytes of the current response, in nanoseconds. */
+    private long longestPauseNanos;
+
     /** Whether the connection may be kept open after the streamed response. */
     private boolean keepAliveAfterStream;
 
@@ -141,6 +144,7 @@
     void write(UpstreamAttempt attempt) {
         currentAttempt = attempt;
         matchedStartBytes = 0;
+        longestPauseNanos = 0;
         attempt.connectionIdleMs = usedBefore ? idleMs(nanoClock.getAsLong()) : 0;
         usedBefore = true;
         attempt.channel = context.channel();
@@ -322,6 +326,11 @@
         return (nanoClock.getAsLong() - lastReadNanos) / NANOS_PER_MS;
     }
 
+    @Override
+    public double longestPauseMs() {
+        return longestPauseNanos / NANOS_PER_MS;
+    }
+
     @Override
     public boolean stream() {
         boolean streamable = ResponseHeads.isStreamable(aggregator.aggregatedHead());
@@ -436,6 +445,7 @@
     private final class InboundByteHandler extends ChannelInboundHandlerAdapter {
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
+            boolean responseBegun = matchedStartBytes > 0;
             if (completeResponse != null) {
                 hasSurplusInput = true;
                 ReferenceCountUtil.release(message);
@@ -443,11 +453,19 @@
                 buffer.release();
                 failAttempt(context, null);
             } else {
-                lastReadNanos = nanoClock.getAsLong();
+                recordRead(responseBegun);
                 ctx.fireChannelRead(message);
             }
         }
 
+        private void recordRead(boolean responseBegun) {
+            long now = nanoClock.getAsLong();
+            if (responseBegun) {
+                longestPauseNanos = Math.max(longestPauseNanos, now - lastReadNanos);
+            }
+            lastReadNanos = now;
+        }
+
         @Override
         public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
             inputShutdown |= event instanceof ChannelInputShutdownEvent;
--- a/src/main/java/cacheproxy/proxy/UpstreamAttempt.java
+++ b/src/main/java/cacheproxy/proxy/UpstreamAttempt.java
@@ -63,6 +63,9 @@
         /** Time since its latest bytes, in milliseconds. */
         double quietMs();
 
+        /** The longest time between two arrivals of its bytes, in milliseconds. */
+        double longestPauseMs();
+
         /**
          * Starts to stream it if it may be longer than what is aggregated. Returns false if it is
          * short, not successful, or has no complete head yet.
@@ -236,11 +239,16 @@
     }
 
     /**
-     * Whether the node of a streamed response has written nothing for the given time although it
-     * was read from.
+     * Time since the node of a streamed response last wrote, in milliseconds; 0 while it is not
+     * read from.
      */
-    boolean isSilent(double quietMs) {
-        return channel.config().isAutoRead() && incompleteResponse.quietMs() >= quietMs;
+    double silentMs() {
+        return channel.config().isAutoRead() ? incompleteResponse.quietMs() : 0;
+    }
+
+    /** The longest pause of the node between two parts of its response, in milliseconds. */
+    double longestPauseMs() {
+        return incompleteResponse.longestPauseMs();
     }
 
     /** Gives a streamed response up; its consumer is notified that it remains incomplete. */
