--- a/src/test/java/cacheproxy/proxy/ServeProcess.java
+++ b/src/test/java/cacheproxy/proxy/ServeProcess.java
@@ -17,10 +17,13 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /** A proxy in a separate process, with a scripted cache node and scripted discovery. */
 final class ServeProcess implements Closeable {
@@ -28,6 +31,7 @@
     private static final int SIGTERM_EXIT_CODE = 143;
     private static final long TIMEOUT_S = 60;
     private static final long POLL_MS = 10;
+    private static final long BYTES_PER_KB = 1024;
     private static final String END_OF_LOG = "\0end of the log";
 
     final ProxyFixture site;
@@ -75,6 +79,38 @@
         reader.start();
     }
 
+    /** The JVM options of the deploy file's run command that need no file of the build. */
+    static String[] deployedJvmOptions() throws IOException {
+        Matcher run =
+                Pattern.compile("(?m)^run = \"exec java (.*) -jar ")
+                        .matcher(Files.readString(Path.of("deploy/balancer.toml")));
+        if (!run.find()) {
+            throw new IOException("deploy/balancer.toml has no run command");
+        }
+        return Arrays.stream(run.group(1).split(" "))
+                .filter(option -> !option.contains("SharedArchiveFile"))
+                .toArray(String[]::new);
+    }
+
+    /** The most memory that the process has used so far, in bytes. */
+    long peakMemoryBytes() throws IOException {
+        return memoryBytes("VmHWM:");
+    }
+
+    /** The memory that the process uses now, in bytes. */
+    long memoryBytes() throws IOException {
+        return memoryBytes("VmRSS:");
+    }
+
+    private long memoryBytes(String field) throws IOException {
+        return Files.readAllLines(Path.of("/proc", String.valueOf(process.pid()), "status"))
+                .stream()
+                .filter(line -> line.startsWith(field))
+                .mapToLong(line -> Long.parseLong(line.replaceAll("\\D", "")) * BYTES_PER_KB)
+                .findFirst()
+                .orElseThrow();
+    }
+
     private void readLog() {
         try (BufferedReader lines =
                 new BufferedReader(
--- a/src/test/java/cacheproxy/proxy/SlowRequestBodiesTest.java
+++ b/src/test/java/cacheproxy/proxy/SlowRequestBodiesTest.java
@@ -4,14 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -41,19 +37,6 @@
     private ServeProcess serve;
     private Thread node;
 
-    /** The JVM options of the deploy file's run command that need no file of the build. */
-    private static String[] deployedJvmOptions() throws IOException {
-        Matcher run =
-                Pattern.compile("(?m)^run = \"exec java (.*) -jar ")
-                        .matcher(Files.readString(Path.of("deploy/balancer.toml")));
-        if (!run.find()) {
-            throw new IOException("deploy/balancer.toml has no run command");
-        }
-        return Arrays.stream(run.group(1).split(" "))
-                .filter(option -> !option.contains("SharedArchiveFile"))
-                .toArray(String[]::new);
-    }
-
     @BeforeEach
     void start() throws Exception {
         ProxyFixture site = new ProxyFixture();
@@ -65,7 +48,7 @@
         node = new Thread(() -> answerAll(site.node), "node");
         node.setDaemon(true);
         node.start();
-        serve = new ServeProcess(folder, site, List.of(), deployedJvmOptions());
+        serve = new ServeProcess(folder, site, List.of(), ServeProcess.deployedJvmOptions());
         serve.awaitUp();
     }
 
