Limit header fields and the memory of requests that wait behind another

Callers saw: the process ended, with hundreds of clients that sent heads of very many short fields. Cause: a head is limited to 8 KiB of text, but a field of four bytes takes some 200 bytes of memory, and up to 16 requests wait on each connection with all their fields: 470 connections need gigabytes in the worst case. Change: a message has 100 header and trailer fields at most, from clients (400) and from nodes; all requests that wait take a sixteenth of the heap at most, beyond which a connection is handled as with too many of them.

--- a/src/main/java/cacheproxy/proxy/ClientServer.java
+++ b/src/main/java/cacheproxy/proxy/ClientServer.java
@@ -68,6 +68,14 @@
     /** Requests that may wait on one connection behind the one in progress. */
     private static final int MAX_PIPELINED = 16;
 
+    /**
+     * At most one in this many bytes of the heap is used for requests that wait, with no bodies.
+     */
+    private static final int PIPELINED_HEAP_DIVISOR = 16;
+
+    private static final long MAX_PIPELINED_BYTES =
+            Runtime.getRuntime().maxMemory() / PIPELINED_HEAP_DIVISOR;
+
     /**
      * Interval at which all connections' timeouts are checked. One shared timer suffices, as most
      * connections never reach a timeout.
@@ -152,6 +160,10 @@
     private boolean atConnectionLimit;
 
     private int idleConnections;
+
+    /** Memory taken by all requests that wait behind another on their connection, estimated. */
+    private long pipelinedBytes;
+
     private boolean draining;
     private boolean operatorDrain;
 
@@ -763,8 +775,10 @@
                 }
             } else {
                 pipelined.add(request);
+                pipelinedBytes += request.headBytes();
                 // Reading must continue, or a client that disconnects would not be noticed.
-                pipelineOverflow = pipelined.size() >= MAX_PIPELINED;
+                pipelineOverflow =
+                        pipelined.size() >= MAX_PIPELINED || pipelinedBytes >= MAX_PIPELINED_BYTES;
                 if (pipelineOverflow) {
                     channel.config().setAutoRead(true);
                 }
@@ -1049,7 +1063,7 @@
                 rejectPipelined();
                 return;
             }
-            PipelinedRequest request = pipelined.poll();
+            PipelinedRequest request = pollPipelined();
             if (request != null) {
                 dispatch(request);
             } else if (hasPartialRequest) {
@@ -1064,7 +1078,7 @@
          */
         private void rejectPipelined() {
             logClose(CloseCause.PIPELINE_OVERFLOW);
-            for (PipelinedRequest each = pipelined.poll(); each != null; each = pipelined.poll()) {
+            for (PipelinedRequest each = pollPipelined(); each != null; each = pollPipelined()) {
                 each.release();
                 keepAlive = !pipelined.isEmpty();
                 upload = null;
@@ -1076,9 +1090,16 @@
             beginClose();
         }
 
+        private PipelinedRequest pollPipelined() {
+            PipelinedRequest request = pipelined.poll();
+            pipelinedBytes -= request == null ? 0 : request.headBytes();
+            return request;
+        }
+
         private void discardPipelined() {
-            pipelined.forEach(PipelinedRequest::release);
-            pipelined.clear();
+            for (PipelinedRequest each = pollPipelined(); each != null; each = pollPipelined()) {
+                each.release();
+            }
         }
 
         @Override
@@ -1139,7 +1160,26 @@
      * A request with its arrival time, as its budget counts from then. It waits if another request
      * is in progress on its connection.
      */
-    private record PipelinedRequest(HttpRequest request, Upload upload, long arrivedNanos) {
+    private record PipelinedRequest(
+            HttpRequest request, Upload upload, long arrivedNanos, int headBytes) {
+
+        /** Estimated memory of a head without its text, and of one of its fields. */
+        private static final int HEAD_BYTES = 1000;
+
+        private static final int FIELD_BYTES = 200;
+
+        PipelinedRequest(HttpRequest request, Upload upload, long arrivedNanos) {
+            this(request, upload, arrivedNanos, estimatedBytes(request));
+        }
+
+        private static int estimatedBytes(HttpRequest request) {
+            int bytes = HEAD_BYTES + request.uri().length();
+            for (Map.Entry<String, String> field : request.headers()) {
+                bytes += FIELD_BYTES + field.getKey().length() + field.getValue().length();
+            }
+            return bytes;
+        }
+
         void release() {
             ReferenceCountUtil.release(request);
             if (upload != null) {
--- a/src/main/java/cacheproxy/proxy/StrictHttp.java
+++ b/src/main/java/cacheproxy/proxy/StrictHttp.java
@@ -17,6 +17,9 @@
 
     private static final int MAX_HEADER_BYTES = 8192;
 
+    /** Each field takes some 200 bytes of memory, however short it is. */
+    private static final int MAX_HEADER_FIELDS = 100;
+
     private StrictHttp() {}
 
     /**
@@ -24,6 +27,8 @@
      * may smuggle another request in its body, which a node would execute.
      */
     static final class RequestDecoder extends HttpRequestDecoder {
+        private final FieldCounter fields = new FieldCounter();
+
         RequestDecoder() {
             super(decoderConfig());
         }
@@ -33,8 +38,15 @@
             throw ambiguousLength();
         }
 
+        @Override
+        protected HttpMessage createMessage(String[] initialLine) throws Exception {
+            fields.startMessage();
+            return super.createMessage(initialLine);
+        }
+
         @Override
         protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+            fields.countField();
             return super.splitHeaderName(line, start, checkedNameLength(line, start, length));
         }
 
@@ -46,6 +58,8 @@
 
     /** Decodes responses. */
     static final class ResponseDecoder extends HttpResponseDecoder {
+        private final FieldCounter fields = new FieldCounter();
+
         ResponseDecoder() {
             super(decoderConfig());
         }
@@ -55,8 +69,15 @@
             throw ambiguousLength();
         }
 
+        @Override
+        protected HttpMessage createMessage(String[] initialLine) {
+            fields.startMessage();
+            return super.createMessage(initialLine);
+        }
+
         @Override
         protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+            fields.countField();
             return super.splitHeaderName(line, start, checkedNameLength(line, start, length));
         }
 
@@ -66,6 +87,22 @@
         }
     }
 
+    /** Limits the number of header and trailer fields of a message. */
+    private static final class FieldCounter {
+        private int fields;
+
+        void startMessage() {
+            fields = 0;
+        }
+
+        void countField() {
+            fields++;
+            if (fields > MAX_HEADER_FIELDS) {
+                throw new IllegalArgumentException("more than " + MAX_HEADER_FIELDS + " fields");
+            }
+        }
+    }
+
     /**
      * Whether a transfer coding is used that Netty doesn't decode, which leaves the message's
      * length undefined.
