Bound what connections buffer of long messages by the direct memory

Callers saw: with hundreds of clients that read long responses late, responses broke off and others got no answer. Cause: each connection buffers up to 32 KiB for writing and one more read of 16 KiB, 23 MB for 488 clients, while the process has 16 MB of direct memory. When it is used up the JVM sleeps for about 0.5 s in each allocation, on the event loop, and then fails the read. Change: read size and water mark follow from the direct memory and the limit of connections: 8 KiB each for 488 connections, 16 and 32 KiB as before for up to 128 (a quarter of the direct memory each).

--- a/src/main/java/cacheproxy/proxy/ClientServer.java
+++ b/src/main/java/cacheproxy/proxy/ClientServer.java
@@ -225,7 +225,9 @@
     }
 
     private ServerBootstrap configure(ServerBootstrap server) {
-        return server.handler(new AcceptFailureHandler())
+        return BufferLimits.forConnections(maxConnections)
+                .applyTo(server)
+                .handler(new AcceptFailureHandler())
                 .childHandler(
                         new ChannelInitializer<>() {
                             @Override
--- a/src/main/java/cacheproxy/proxy/ConnectionTransport.java
+++ b/src/main/java/cacheproxy/proxy/ConnectionTransport.java
@@ -2,11 +2,9 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.local.LocalChannel;
 import io.netty.channel.local.LocalServerChannel;
 import java.nio.channels.ServerSocketChannel;
@@ -43,24 +41,6 @@
 
     private static final int BACKLOG = 1024;
 
-    /**
-     * Bytes that a connection may buffer of a long message before they are written; one more read
-     * may come on top. Times the number of clients' connections, the two bound the memory used by
-     * all long messages.
-     */
-    private static final WriteBufferWaterMark WRITE_WATER_MARK =
-            new WriteBufferWaterMark(16 * 1024, 32 * 1024);
-
-    /** Largest single read. */
-    private static final int MAX_READ_BYTES = 16 * 1024;
-
-    /** Initial size of a single read. */
-    private static final int INITIAL_READ_BYTES = 2048;
-
-    private static AdaptiveRecvByteBufAllocator receiveBufferAllocator() {
-        return new AdaptiveRecvByteBufAllocator(64, INITIAL_READ_BYTES, MAX_READ_BYTES);
-    }
-
     /**
      * Accepts connections from a socket that another process has bound. The socket is registered
      * without binding it again.
@@ -71,25 +51,23 @@
 
     private static ServerBootstrap listeningBootstrap(
             EventLoop loop, ChannelFactory<ClientChannel.Listener> listener) {
-        return new ServerBootstrap()
-                .group(loop)
-                .channelFactory(listener)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_WATER_MARK)
-                .childOption(ChannelOption.RECVBUF_ALLOCATOR, receiveBufferAllocator());
+        return BufferLimits.LARGEST.applyTo(
+                new ServerBootstrap()
+                        .group(loop)
+                        .channelFactory(listener)
+                        .childOption(ChannelOption.TCP_NODELAY, true));
     }
 
     /** Connects over channels made by {@code channels}. */
     static Bootstrap connectingBootstrap(EventLoop loop, ChannelFactory<NodeChannel> channels) {
         // With half-closure, an end of stream sent by the other side is an event of its own and
         // can't be confused with a connection failure.
-        return new Bootstrap()
-                .group(loop)
-                .channelFactory(channels)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
-                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_WATER_MARK)
-                .option(ChannelOption.RECVBUF_ALLOCATOR, receiveBufferAllocator());
+        return BufferLimits.LARGEST.applyTo(
+                new Bootstrap()
+                        .group(loop)
+                        .channelFactory(channels)
+                        .option(ChannelOption.TCP_NODELAY, true)
+                        .option(ChannelOption.ALLOW_HALF_CLOSURE, true));
     }
 
     abstract ServerBootstrap serverBootstrap(EventLoop loop);
--- a/src/main/java/cacheproxy/proxy/NodePool.java
+++ b/src/main/java/cacheproxy/proxy/NodePool.java
@@ -115,7 +115,8 @@
             LongSupplier nanoClock) {
         this(
                 loop,
-                transport.clientBootstrap(loop),
+                BufferLimits.forConnections(maxConnections)
+                        .applyTo(transport.clientBootstrap(loop)),
                 connectTimeoutMs,
                 idleTimeoutMs,
                 maxConnections,
--- a/src/main/java/cacheproxy/proxy/RequestLog.java
+++ b/src/main/java/cacheproxy/proxy/RequestLog.java
@@ -69,7 +69,7 @@
                 "attempts",
                 call.attemptCount,
                 "last_node",
-                call.lastNode,
+                call.lastNode == null ? "none" : call.lastNode,
                 "last_outcome",
                 call.lastOutcome == null ? "none" : lowerCase(call.lastOutcome),
                 "may_have_run",
