Do not run a write again whose id comes back after its client left

Callers saw: an id ran twice when it came again after its client had left, or at the other process of an upgrade. Cause: an id was known only while its request was open, and to one process. Reads may run twice and are not kept.

--- a/src/main/java/cacheproxy/proxy/EndCause.java
+++ b/src/main/java/cacheproxy/proxy/EndCause.java
@@ -20,6 +20,9 @@
     /** As many requests are open as the configuration allows. */
     REQUEST_LIMIT,
 
+    /** Its id is that of an earlier request that may have run. */
+    REPEATED_ID,
+
     /** The client closed its connection. */
     CLIENT_LEFT,
 
--- a/src/main/java/cacheproxy/proxy/Proxy.java
+++ b/src/main/java/cacheproxy/proxy/Proxy.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
@@ -106,6 +107,10 @@
     /** For each class with idempotency keys, how long its requests may be repeated. */
     private final Map<String, Double> repeatWindowsMs;
 
+    /** Classes whose requests may run more than once. */
+    private final Set<String> repeatableClasses;
+
+    private RequestIds requestIds = RequestIds.ofProcess();
     private final Queue<QueuedEvent> queuedEvents = new ArrayDeque<>();
     private final List<Runnable> requestedActions = new ArrayList<>();
     private final RequestTally tally = new RequestTally();
@@ -141,6 +146,11 @@
         this.maxOpenRequests = maxOpenRequests;
         this.incompleteResponses = new IncompleteResponsePolicy(loop, clock);
         this.requestLog = new RequestLog(clock, tally);
+        this.repeatableClasses =
+                settings.classes().stream()
+                        .filter(c -> c.effect() == Router.Effect.SAFE)
+                        .map(Router.ServiceClass::name)
+                        .collect(Collectors.toSet());
         this.repeatWindowsMs =
                 settings.classes().stream()
                         .filter(c -> c.effect() == Router.Effect.KEYED)
@@ -168,6 +178,11 @@
         endpointListListener = listener;
     }
 
+    /** Sets the table that this process shares with others; call before {@link #start}. */
+    void setRequestIds(RequestIds shared) {
+        requestIds = shared;
+    }
+
     /** Sets the observer; call before {@link #start}. */
     void setNodeObserver(NodeObserver observer) {
         nodeObserver = observer;
@@ -273,6 +288,13 @@
             client.onRejected(0);
             return;
         }
+        if (!mayRunTwice(request) && !requestIds.claim(request.id(), clock.now())) {
+            tally.failed++;
+            requestLog.requestNotAccepted(request, EndCause.REPEATED_ID);
+            payload.release();
+            client.onFailed();
+            return;
+        }
         Call call = new Call(request, payload, client, clock.now());
         calls.put(request.id(), call);
         pendingRequests++;
@@ -350,6 +372,10 @@
         }
     }
 
+    private boolean mayRunTwice(Request request) {
+        return repeatableClasses.contains(request.service());
+    }
+
     void clientDisconnected(String id) {
         Call call = calls.get(id);
         if (call != null && !call.finished) {
@@ -449,6 +475,7 @@
             HttpResponse head) {
         call.pendingAttempt = null;
         call.lastOutcome = Outcome.OK;
+        call.provenNotRun = false;
         countOutcome(node, Outcome.OK);
         UpstreamAttempt.BodyConsumer consumer = null;
         if (!call.finished) {
@@ -682,6 +709,9 @@
                 && call.pendingAttempt == null
                 && calls.remove(call.clientRequest.id(), call)) {
             call.payload.release();
+            if (call.provenNotRun && !mayRunTwice(call.clientRequest)) {
+                requestIds.release(call.clientRequest.id());
+            }
         }
     }
 
--- a/src/main/java/cacheproxy/proxy/Service.java
+++ b/src/main/java/cacheproxy/proxy/Service.java
@@ -15,6 +15,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.Map;
@@ -91,6 +92,9 @@
                           "services": [{"name": "read", "effect": "retryable", "group": "all", "deadline_ms": 1500}]}}
             """;
 
+    /** Name of the file of request ids, beside the directory that the processes share. */
+    private static final String REQUEST_IDS_FILE = "flintmill-request-ids";
+
     private static final long STATE_LOG_INTERVAL_S = 1;
     private static final long STALL_THRESHOLD_MS = 500;
 
@@ -370,6 +374,9 @@
         if (peers != null) {
             requireBound(listenWithRetries(peers::listen), config.peerListen());
         }
+        if (config.sharedDirectory() != null) {
+            shareRequestIds(config.sharedDirectory().resolveSibling(REQUEST_IDS_FILE));
+        }
         // The decision module gets its endpoint list before the first client can connect.
         loop.submit(
                         () -> {
@@ -410,6 +417,14 @@
         return true;
     }
 
+    private void shareRequestIds(Path file) {
+        try {
+            proxy.setRequestIds(RequestIds.shared(file));
+        } catch (IOException e) {
+            Log.warn("request_ids_not_shared", "cause", e.toString());
+        }
+    }
+
     /** One attempt to listen on an address. Returns null if listening is no longer wanted. */
     private interface BindAttempt {
         ChannelFuture bind() throws IOException, InterruptedException;
