--- a/src/main/java/cacheproxy/proxy/Proxy.java
+++ b/src/main/java/cacheproxy/proxy/Proxy.java
@@ -178,6 +178,11 @@
         endpointListListener = listener;
     }
 
+    /** Stops logging what becomes of single requests. */
+    void disableRequestLog() {
+        requestLog.disable();
+    }
+
     /** Sets the table that this process shares with others; call before {@link #start}. */
     void setRequestIds(RequestIds shared) {
         requestIds = shared;
--- a/src/main/java/cacheproxy/proxy/RequestLog.java
+++ b/src/main/java/cacheproxy/proxy/RequestLog.java
@@ -17,6 +17,7 @@
     private final Log requests = new Log();
     private final Log streams = new Log();
     private final Log overdue = new Log();
+    private boolean enabled = true;
 
     RequestLog(Clock clock, RequestTally tally) {
         this.clock = clock;
@@ -29,7 +30,8 @@
         if (outcome == Outcome.OK || outcome == Outcome.MISS) {
             return;
         }
-        attempts.warnLimited(
+        write(
+                attempts,
                 "attempt_ended",
                 "request",
                 call.clientRequest.id(),
@@ -54,7 +56,8 @@
         if (clock.now() > call.deadlineMs && cause != EndCause.CLIENT_LEFT) {
             tally.answeredLate++;
         }
-        requests.warnLimited(
+        write(
+                requests,
                 "request_ended",
                 "request",
                 call.clientRequest.id(),
@@ -78,7 +81,8 @@
 
     /** A request was refused as it arrived, without asking the decision module. */
     void requestNotAccepted(Request request, EndCause cause) {
-        requests.warnLimited(
+        write(
+                requests,
                 "request_not_accepted",
                 "request",
                 request.id(),
@@ -90,13 +94,14 @@
 
     /** The decision module has not answered a request by its deadline. */
     void requestOverdue(Call call) {
-        overdue.warnLimited("request_overdue", "request", call.clientRequest.id());
+        write(overdue, "request_overdue", "request", call.clientRequest.id());
     }
 
     /** A response that was being passed on to its client remains incomplete. */
     void streamBroken(Call call, StreamEnd end, long streamedBytes) {
         tally.streamsBroken++;
-        streams.warnLimited(
+        write(
+                streams,
                 "response_broken_off",
                 "request",
                 call.clientRequest.id(),
@@ -112,6 +117,17 @@
                 streamedBytes);
     }
 
+    /** Logs nothing from now on, as of requests that rehearse a start. */
+    void disable() {
+        enabled = false;
+    }
+
+    private void write(Log log, String event, Object... fields) {
+        if (enabled) {
+            log.warnLimited(event, fields);
+        }
+    }
+
     private long elapsedMs(double sinceMs) {
         return Math.round(clock.now() - sinceMs);
     }
--- a/src/main/java/cacheproxy/proxy/Warmup.java
+++ b/src/main/java/cacheproxy/proxy/Warmup.java
@@ -241,6 +241,7 @@
                         new DecisionModule(settings, 0),
                         pool,
                         CLIENT_COUNT + 1);
+        proxy.disableRequestLog();
         ClientServer clients =
                 new ClientServer(loop, proxy, settings, MAX_CLIENT_CONNECTIONS, bodyMemory);
         LocalAddress proxyAddress = new LocalAddress(Warmup.class);
