Keep the body of the request in progress when what lies behind it is given up

Callers would have seen: a long write that waits for a node fails, if other clients' unread input has used up the read-ahead. Cause, in this change: giving up the input discarded the body that was received last, which is that of the request in progress when nothing has come behind it. Its node got a head without a body. Found by reading the change once more.

--- a/src/main/java/cacheproxy/proxy/ClientServer.java
+++ b/src/main/java/cacheproxy/proxy/ClientServer.java
@@ -730,7 +730,7 @@
          */
         private void abandonInput() {
             pipelineOverflow = true;
-            if (incomingUpload != null) {
+            if (incomingUpload != null && incomingUpload != upload) {
                 incomingUpload.discard();
             }
         }
--- a/src/test/java/cacheproxy/proxy/ClientDisconnectTest.java
+++ b/src/test/java/cacheproxy/proxy/ClientDisconnectTest.java
@@ -35,6 +35,12 @@
     /** So many connections use up the memory of all connections for reading ahead. */
     private static final int CROWD = 17;
 
+    /** More than the proxy reads of a body before a node takes it, and reads ahead. */
+    private static final int LONG_BODY_BYTES = 2 * 1024 * 1024;
+
+    private static final String LONG_PUT =
+            ProxyFixture.put("Idempotency-Key: k\r\n", "v".repeat(LONG_BODY_BYTES));
+
     private final EventLoopPause loopPause = new EventLoopPause();
 
     private static String get(String id) {
@@ -298,6 +304,27 @@
         writer.join();
     }
 
+    /** Starts the proxy and connects clients whose unread input is as much as may be read ahead. */
+    private static void useUpReadAhead(ProxyFixture site, List<TestServer.Connection> crowd)
+            throws Exception {
+        site.settings = ProxyFixture.SETTINGS.replace("\"max_open\": 4", "\"max_open\": 99");
+        site.start("automatic", "60000", "");
+        site.router.onEnd =
+                (end, out) -> {
+                    if (!end.finished() && end.outcome() == Outcome.MISS) {
+                        out.send(end.request(), "c0", 0);
+                    }
+                };
+        for (int i = 0; i < CROWD; i++) {
+            crowd.add(site.client());
+            crowd.get(i).write(get("crowd" + i) + LONG_PUT);
+            TestServer.Message message = site.node.next();
+            TimeUnit.MILLISECONDS.sleep(IDLE_MS);
+            message.connection().respond(404, "");
+            assertEquals("crowd" + i, site.node.next().header("X-Call-Id"));
+        }
+    }
+
     /**
      * The unread input of other clients has used up all memory for reading ahead, so the end of
      * this client's stream can't be looked for by reading ahead.
@@ -306,28 +333,9 @@
     void disconnectsBesideClientsWithMuchUnreadInput() throws Exception {
         List<TestServer.Connection> crowd = new ArrayList<>();
         try (ProxyFixture site = new ProxyFixture()) {
-            site.settings = ProxyFixture.SETTINGS.replace("\"max_open\": 4", "\"max_open\": 99");
-            site.start("automatic", "60000", "");
-            site.router.onEnd =
-                    (end, out) -> {
-                        if (!end.finished() && end.outcome() == Outcome.MISS) {
-                            out.send(end.request(), "c0", 0);
-                        }
-                    };
-            String longPut =
-                    ProxyFixture.put(
-                            "Idempotency-Key: k\r\n",
-                            "v".repeat(2 * ClientChannel.MAX_READ_AHEAD_BYTES));
-            for (int i = 0; i < CROWD; i++) {
-                crowd.add(site.client());
-                crowd.get(i).write(get("crowd" + i) + longPut);
-                TestServer.Message message = site.node.next();
-                TimeUnit.MILLISECONDS.sleep(IDLE_MS);
-                message.connection().respond(404, "");
-                assertEquals("crowd" + i, site.node.next().header("X-Call-Id"));
-            }
+            useUpReadAhead(site, crowd);
             TestServer.Connection leaving = site.client();
-            leaving.write(get("left") + longPut.substring(0, longPut.length() / 3));
+            leaving.write(get("left") + LONG_PUT);
             TestServer.Message message = site.node.next();
             assertEquals("left", message.header("X-Call-Id"));
             leaving.close();
@@ -342,4 +350,31 @@
             }
         }
     }
+
+    @Test
+    void bodyIsSentWholeBesideClientsWithMuchUnreadInput() throws Exception {
+        List<TestServer.Connection> crowd = new ArrayList<>();
+        try (ProxyFixture site = new ProxyFixture()) {
+            useUpReadAhead(site, crowd);
+            AtomicReference<Actions> actions = new AtomicReference<>();
+            site.router.onTimer = () -> actions.get().send("w1", "c0", 0);
+            site.router.onRequest =
+                    (request, out) -> {
+                        actions.set(out);
+                        out.scheduleTimer(new Clock().now() + CLOSE_TOLERANCE_MS, "send");
+                    };
+            String body = "v".repeat(2 * MessageAggregator.MAX_AGGREGATED_BYTES);
+            try (TestServer.Connection writer = site.client()) {
+                writer.write(ProxyFixture.put("Idempotency-Key: k\r\n", body));
+                TestServer.Message received = site.node.next();
+                assertEquals(body, received.body());
+                received.connection().respond(200, "v");
+                assertEquals(200, ProxyFixture.status(writer.read()));
+            }
+        } finally {
+            for (TestServer.Connection each : crowd) {
+                each.close();
+            }
+        }
+    }
 }
