Clean up the mended paths: one owner each, and no work that need not be done

No change of behaviour. One look at a client's socket before an attempt in place of two; the size of a waiting request's head is estimated when it waits, not for each request; the switch between small and large reads belongs to RequestAggregator, the buffer limits to NodePool and ClientServer alone; one check for stalled responses with HalfClose's timeout; the table of ids is made at the start unless it is shared; one call that tells the module that a request is over.

--- a/src/main/java/cacheproxy/proxy/BodyMemory.java
+++ b/src/main/java/cacheproxy/proxy/BodyMemory.java
@@ -77,10 +77,10 @@
     }
 
     /**
-     * Whether more of bodies that are streamed may be held. They get a part of the memory only, as
-     * short bodies have to be aggregated beside them.
+     * Whether more of bodies that are streamed may be queued. They get a part of the memory only,
+     * as short bodies have to be aggregated beside them.
      */
-    boolean hasRoomToHold() {
+    boolean hasStreamingCapacity() {
         return usedBytes() < limitBytes / STREAMED_DIVISOR;
     }
 
--- a/src/main/java/cacheproxy/proxy/BufferLimits.java
+++ b/src/main/java/cacheproxy/proxy/BufferLimits.java
@@ -29,15 +29,12 @@
     /** At most one in this many bytes of direct memory is planned for long messages. */
     private static final int DIRECT_MEMORY_DIVISOR = 4;
 
-    /** Limits where memory is no concern. */
-    static final BufferLimits LARGEST = new BufferLimits(MAX_READ_BYTES, MAX_WRITE_BYTES);
-
-    /** The limits of a process that has up to this many connections with clients. */
-    static BufferLimits forConnections(int clientConnections) {
+    /** The limits where up to this many connections carry messages in one direction. */
+    static BufferLimits forConnections(int connections) {
         long bytes =
                 PlatformDependent.maxDirectMemory()
                         / DIRECT_MEMORY_DIVISOR
-                        / Math.max(1, clientConnections);
+                        / Math.max(1, connections);
         int readBytes =
                 (int) Math.max(MIN_READ_BYTES, Math.min(MAX_READ_BYTES, Long.highestOneBit(bytes)));
         return new BufferLimits(
--- a/src/main/java/cacheproxy/proxy/ClientChannel.java
+++ b/src/main/java/cacheproxy/proxy/ClientChannel.java
@@ -59,10 +59,10 @@
     /** Bytes that were read ahead and not delivered yet; null if there are none. */
     private ByteBuf readAheadBuffer;
 
-    /** Whether the last read found less input than it had room for. */
+    /** Whether the last read found less input than it asked for. */
     private boolean drained = true;
 
-    /** When a read last found less input than it had room for, in nanoseconds. */
+    /** When a read last found less input than it asked for, in nanoseconds. */
     private long lastDrainedNanos = System.nanoTime();
 
     /** Whether a long body is expected, which may be read as fast as it comes. */
@@ -146,8 +146,8 @@
         return lastDrainedNanos;
     }
 
-    private void recordRead(int read, int room) {
-        drained = read < room;
+    private void recordRead(int read, int maxBytes) {
+        drained = read < maxBytes;
         if (drained) {
             lastDrainedNanos = System.nanoTime();
         }
@@ -206,18 +206,16 @@
     @Override
     protected int doReadBytes(ByteBuf target) throws Exception {
         RecvByteBufAllocator.Handle allocHandle = unsafe().recvBufAllocHandle();
-        int room = target.writableBytes();
+        int writable = target.writableBytes();
+        int maxBytes = readsBody ? writable : Math.min(writable, MAX_HEAD_READ_BYTES);
         // The loop reads on only after a read that took all that was attempted.
-        allocHandle.attemptedBytesRead(readsBody ? room : room + 1);
-        if (!readsBody) {
-            room = Math.min(room, MAX_HEAD_READ_BYTES);
-        }
+        allocHandle.attemptedBytesRead(readsBody ? writable : writable + 1);
         if (readAheadBuffer == null) {
-            int read = target.writeBytes(javaChannel(), room);
-            recordRead(read, room);
+            int read = target.writeBytes(javaChannel(), maxBytes);
+            recordRead(read, maxBytes);
             return read;
         }
-        int read = Math.min(room, readAheadBuffer.readableBytes());
+        int read = Math.min(maxBytes, readAheadBuffer.readableBytes());
         target.writeBytes(readAheadBuffer, read);
         listener.readAheadBytes -= read;
         if (!readAheadBuffer.isReadable()) {
--- a/src/main/java/cacheproxy/proxy/ClientServer.java
+++ b/src/main/java/cacheproxy/proxy/ClientServer.java
@@ -41,9 +41,9 @@
 import java.util.ArrayDeque;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Queue;
 import java.util.Set;
@@ -109,9 +109,6 @@
     /** How long a streamed response may make no progress before its connection is closed. */
     private static final long RESPONSE_STALL_TIMEOUT_MS = 10_000;
 
-    /** How long a client may leave all its responses unread while it sends further requests. */
-    private static final long UNREAD_RESPONSES_TIMEOUT_MS = 5000;
-
     /**
      * How long an idle connection that was served stays open for its next request: some clients
      * send one request and never close.
@@ -585,7 +582,7 @@
             }
             long elapsedMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - timerStartNanos);
             if (pausedForUnread && phase != Phase.CLOSING) {
-                closeIfUnreadFor(elapsedMs);
+                closeIfStalledFor(elapsedMs, HalfClose.WRITE_STALL_TIMEOUT_MS);
                 return;
             }
             switch (phase) {
@@ -611,17 +608,12 @@
                         abortRequest(HttpResponseStatus.REQUEST_TIMEOUT);
                     }
                 }
-                case STREAMING -> {
-                    if (elapsedMs >= RESPONSE_STALL_TIMEOUT_MS) {
-                        logClose(CloseCause.RESPONSE_STALLED);
-                        channel.close();
-                    }
-                }
+                case STREAMING -> closeIfStalledFor(elapsedMs, RESPONSE_STALL_TIMEOUT_MS);
             }
         }
 
-        private void closeIfUnreadFor(long elapsedMs) {
-            if (elapsedMs >= UNREAD_RESPONSES_TIMEOUT_MS) {
+        private void closeIfStalledFor(long elapsedMs, long timeoutMs) {
+            if (elapsedMs >= timeoutMs) {
                 logClose(CloseCause.RESPONSE_STALLED);
                 channel.close();
             }
@@ -641,9 +633,9 @@
             closeLog.warnLimited(
                     "client_connection_closed",
                     "cause",
-                    cause.name().toLowerCase(Locale.ROOT),
+                    Log.lowerCase(cause),
                     "phase",
-                    phase.name().toLowerCase(Locale.ROOT),
+                    Log.lowerCase(phase),
                     "request",
                     openRequestId == null ? "none" : openRequestId,
                     "pipelined",
@@ -705,23 +697,31 @@
 
         @Override
         public ClientChannel.Presence presence() {
-            if (hasDisconnected()) {
-                return ClientChannel.Presence.CLOSED;
+            ClientChannel.Presence presence =
+                    channel.isActive() ? socketPresence() : ClientChannel.Presence.CLOSED;
+            if (presence == ClientChannel.Presence.CLOSED) {
+                closeForDisconnect();
             }
-            long openNanos = System.nanoTime() - requestArrivedNanos;
-            if (!(channel instanceof ClientChannel socket)
-                    || openNanos < TimeUnit.MILLISECONDS.toNanos(PRESUMED_PRESENT_MS)) {
+            return presence;
+        }
+
+        private ClientChannel.Presence socketPresence() {
+            if (!(channel instanceof ClientChannel socket)) {
                 return ClientChannel.Presence.CONNECTED;
             }
             ClientChannel.Presence presence = socket.presence();
-            if (presence == ClientChannel.Presence.UNKNOWN && !hasUnreadBody()) {
-                abandonInput();
-                presence = socket.discardInput();
+            if (presence != ClientChannel.Presence.UNKNOWN) {
+                return presence;
             }
-            if (presence == ClientChannel.Presence.CLOSED) {
-                closeForDisconnect();
+            long openNanos = System.nanoTime() - requestArrivedNanos;
+            if (openNanos < TimeUnit.MILLISECONDS.toNanos(PRESUMED_PRESENT_MS)) {
+                return ClientChannel.Presence.CONNECTED;
             }
-            return presence;
+            if (hasUnreadBody()) {
+                return ClientChannel.Presence.UNKNOWN;
+            }
+            abandonInput();
+            return socket.discardInput();
         }
 
         /**
@@ -755,7 +755,6 @@
                 return;
             }
             if (part instanceof HttpRequest request) {
-                setReadsBody(!(request instanceof FullHttpRequest));
                 incomingUpload =
                         request instanceof FullHttpRequest
                                 ? null
@@ -783,17 +782,10 @@
             } else {
                 hasPartialRequest =
                         !(part instanceof LastHttpContent) || decoder.hasUnconsumedBytes();
-                setReadsBody(!(part instanceof LastHttpContent));
                 incomingUpload.addPart(part);
             }
         }
 
-        private void setReadsBody(boolean enabled) {
-            if (channel instanceof ClientChannel socket) {
-                socket.setReadsBody(enabled);
-            }
-        }
-
         private void dispatch(PipelinedRequest request) {
             if (!isBusy()) {
                 try {
@@ -1213,21 +1205,20 @@
      * A request with its arrival time, as its budget counts from then. It waits if another request
      * is in progress on its connection.
      */
-    private record PipelinedRequest(
-            HttpRequest request, Upload upload, long arrivedNanos, int headBytes) {
+    private record PipelinedRequest(HttpRequest request, Upload upload, long arrivedNanos) {
 
         /** Estimated memory of a head without its text, and of one of its fields. */
         private static final int HEAD_BYTES = 1000;
 
         private static final int FIELD_BYTES = 200;
 
-        PipelinedRequest(HttpRequest request, Upload upload, long arrivedNanos) {
-            this(request, upload, arrivedNanos, estimatedBytes(request));
-        }
-
-        private static int estimatedBytes(HttpRequest request) {
+        /** The estimated memory of the request without its body. */
+        int headBytes() {
             int bytes = HEAD_BYTES + request.uri().length();
-            for (Map.Entry<String, String> field : request.headers()) {
+            Iterator<Map.Entry<CharSequence, CharSequence>> fields =
+                    request.headers().iteratorCharSequence();
+            while (fields.hasNext()) {
+                Map.Entry<CharSequence, CharSequence> field = fields.next();
                 bytes += FIELD_BYTES + field.getKey().length() + field.getValue().length();
             }
             return bytes;
--- a/src/main/java/cacheproxy/proxy/ConnectionTransport.java
+++ b/src/main/java/cacheproxy/proxy/ConnectionTransport.java
@@ -51,23 +51,21 @@
 
     private static ServerBootstrap listeningBootstrap(
             EventLoop loop, ChannelFactory<ClientChannel.Listener> listener) {
-        return BufferLimits.LARGEST.applyTo(
-                new ServerBootstrap()
-                        .group(loop)
-                        .channelFactory(listener)
-                        .childOption(ChannelOption.TCP_NODELAY, true));
+        return new ServerBootstrap()
+                .group(loop)
+                .channelFactory(listener)
+                .childOption(ChannelOption.TCP_NODELAY, true);
     }
 
     /** Connects over channels made by {@code channels}. */
     static Bootstrap connectingBootstrap(EventLoop loop, ChannelFactory<NodeChannel> channels) {
         // With half-closure, an end of stream sent by the other side is an event of its own and
         // can't be confused with a connection failure.
-        return BufferLimits.LARGEST.applyTo(
-                new Bootstrap()
-                        .group(loop)
-                        .channelFactory(channels)
-                        .option(ChannelOption.TCP_NODELAY, true)
-                        .option(ChannelOption.ALLOW_HALF_CLOSURE, true));
+        return new Bootstrap()
+                .group(loop)
+                .channelFactory(channels)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true);
     }
 
     abstract ServerBootstrap serverBootstrap(EventLoop loop);
--- a/src/main/java/cacheproxy/proxy/EndCause.java
+++ b/src/main/java/cacheproxy/proxy/EndCause.java
@@ -24,7 +24,7 @@
     REPEATED_ID,
 
     /** The client closed its connection. */
-    CLIENT_LEFT,
+    CLIENT_DISCONNECTED,
 
     /** So much of the client's input is unread that it may have left, and an attempt was due. */
     CLIENT_PRESENCE_UNKNOWN
--- a/src/main/java/cacheproxy/proxy/HalfClose.java
+++ b/src/main/java/cacheproxy/proxy/HalfClose.java
@@ -24,7 +24,7 @@
     private static final long MAX_LINGER_BYTES = 1 << 20;
 
     /** How long a response may make no progress at all to a client. */
-    private static final long WRITE_STALL_TIMEOUT_MS = 5000;
+    static final long WRITE_STALL_TIMEOUT_MS = 5000;
 
     private final Channel channel;
     private ChannelFuture lastWrite;
--- a/src/main/java/cacheproxy/proxy/Log.java
+++ b/src/main/java/cacheproxy/proxy/Log.java
@@ -1,6 +1,7 @@
 package cacheproxy.proxy;
 
 import cacheproxy.config.Options;
+import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -91,6 +92,11 @@
         }
     }
 
+    /** The name of a constant as it is logged. */
+    static String lowerCase(Enum<?> value) {
+        return value.name().toLowerCase(Locale.ROOT);
+    }
+
     private static void write(LoggingEventBuilder builder, String name, Object... fields) {
         LoggingEventBuilder withFields = builder;
         for (int i = 0; i + 1 < fields.length; i += 2) {
--- a/src/main/java/cacheproxy/proxy/NodePool.java
+++ b/src/main/java/cacheproxy/proxy/NodePool.java
@@ -115,8 +115,7 @@
             LongSupplier nanoClock) {
         this(
                 loop,
-                BufferLimits.forConnections(maxConnections)
-                        .applyTo(transport.clientBootstrap(loop)),
+                transport.clientBootstrap(loop),
                 connectTimeoutMs,
                 idleTimeoutMs,
                 maxConnections,
@@ -143,7 +142,9 @@
         this.bodyMemory = bodyMemory;
         this.connectTimeoutMs = Math.max(1, (int) connectTimeoutMs);
         this.bootstrap =
-                baseBootstrap.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, this.connectTimeoutMs);
+                BufferLimits.forConnections(maxConnections)
+                        .applyTo(baseBootstrap)
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, this.connectTimeoutMs);
     }
 
     /** Derives the stall timeout from the latency objectives of the served classes. */
--- a/src/main/java/cacheproxy/proxy/Proxy.java
+++ b/src/main/java/cacheproxy/proxy/Proxy.java
@@ -32,7 +32,7 @@
  */
 final class Proxy implements Actions {
 
-    private static final double MICROS_PER_MS = 1000;
+    private static final double NANOS_PER_MS = 1e6;
 
     /** The timeout by which the module requests an attempt that lasts until the deadline. */
     private static final double UNTIL_DEADLINE = 0;
@@ -110,7 +110,9 @@
     /** Classes whose requests may run more than once. */
     private final Set<String> repeatableClasses;
 
-    private RequestIds requestIds = RequestIds.ofProcess();
+    /** Null until the start, unless it is shared with another process. */
+    private RequestIds requestIds;
+
     private final Queue<QueuedEvent> queuedEvents = new ArrayDeque<>();
     private final List<Runnable> requestedActions = new ArrayList<>();
     private final RequestTally tally = new RequestTally();
@@ -194,6 +196,7 @@
     }
 
     void start(EndpointListUpdate storedList) {
+        requestIds = requestIds == null ? RequestIds.ofProcess() : requestIds;
         dispatch(now -> router.started(now, this), () -> {});
         if (storedList != null) {
             endpointListReceived(EndpointListKind.STORED_SNAPSHOT, storedList);
@@ -313,7 +316,7 @@
         }
         dispatch(
                 now -> router.requestReceived(now, request, this),
-                () -> answerAfterFault(call, EndCause.MODULE_FAULT));
+                () -> answerForModule(call, EndCause.MODULE_FAULT));
         if (payload.upload() != null) {
             watchUpload(call);
         }
@@ -354,16 +357,16 @@
         if (call.finished || upload.isComplete()) {
             return;
         }
-        double sinceEndMs =
-                TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - upload.earliestEndNanos())
-                        / MICROS_PER_MS;
+        double sinceEndMs = (System.nanoTime() - upload.earliestEndNanos()) / NANOS_PER_MS;
         double remainingMs = call.clientRequest.budgetMs() - 2 * settings.tickMs() - sinceEndMs;
         if (remainingMs <= 0) {
             cancelPending(call);
-            answerAfterFault(call, EndCause.BODY_NOT_ACCEPTED);
+            answerForModule(call, EndCause.BODY_NOT_ACCEPTED);
         } else {
             loop.schedule(
-                    () -> watchUpload(call), (long) (remainingMs * 1e6), TimeUnit.NANOSECONDS);
+                    () -> watchUpload(call),
+                    (long) (remainingMs * NANOS_PER_MS),
+                    TimeUnit.NANOSECONDS);
         }
     }
 
@@ -390,9 +393,9 @@
 
     private void closeForDisconnect(Call call) {
         tally.gone++;
-        requestLog.requestEnded(call, EndCause.CLIENT_LEFT);
+        requestLog.requestEnded(call, EndCause.CLIENT_DISCONNECTED);
         markFinished(call);
-        dispatch(now -> router.clientDisconnected(now, call.clientRequest.id(), this), () -> {});
+        notifyDisconnected(call);
     }
 
     /**
@@ -408,8 +411,7 @@
             closeForDisconnect(call);
         } else if (presence == ClientChannel.Presence.UNKNOWN) {
             answerAsProven(call, EndCause.CLIENT_PRESENCE_UNKNOWN);
-            dispatch(
-                    now -> router.clientDisconnected(now, call.clientRequest.id(), this), () -> {});
+            notifyDisconnected(call);
         }
         return !call.finished;
     }
@@ -526,7 +528,7 @@
                         id, attempt, node, outcome, elapsedMs, finished, cacheStatus, Map.of());
         dispatch(
                 now -> router.attemptEnded(now, end, this),
-                call == null ? () -> {} : () -> answerAfterFault(call, EndCause.MODULE_FAULT));
+                call == null ? () -> {} : () -> answerForModule(call, EndCause.MODULE_FAULT));
     }
 
     // Calls of the decision module, one at a time
@@ -566,14 +568,20 @@
     }
 
     /**
-     * Answers a request after a fault of the module. The request is rejected only if it provably
-     * has not run, because a rejection promises that; otherwise it fails.
+     * Answers a request in place of the module, which has failed or has not answered in time. The
+     * request is rejected only if it provably has not run, because a rejection promises that;
+     * otherwise it fails.
      */
-    private void answerAfterFault(Call call, EndCause cause) {
+    private void answerForModule(Call call, EndCause cause) {
         if (call.finished || call.pendingAttempt != null) {
             return;
         }
         answerAsProven(call, cause);
+        notifyDisconnected(call);
+    }
+
+    /** Notifies the module that its decisions on a request are not needed any more. */
+    private void notifyDisconnected(Call call) {
         dispatch(now -> router.clientDisconnected(now, call.clientRequest.id(), this), () -> {});
     }
 
@@ -591,7 +599,7 @@
         if (!call.finished) {
             requestLog.requestOverdue(call);
             cancelPending(call);
-            answerAfterFault(call, EndCause.DEADLINE);
+            answerForModule(call, EndCause.DEADLINE);
         }
     }
 
@@ -611,8 +619,7 @@
             if (pending != null) {
                 pending.cancel();
             }
-            dispatch(
-                    now -> router.clientDisconnected(now, call.clientRequest.id(), this), () -> {});
+            notifyDisconnected(call);
         }
     }
 
--- a/src/main/java/cacheproxy/proxy/RequestAggregator.java
+++ b/src/main/java/cacheproxy/proxy/RequestAggregator.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 
 /** Aggregates requests. A body that exceeds the size limit raises an exception. */
 final class RequestAggregator extends MessageAggregator {
@@ -20,12 +21,25 @@
     }
 
     @Override
-    void headAccepted(ChannelHandlerContext ctx, HttpMessage message) {
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        super.channelRead(ctx, message);
+        if (message instanceof LastHttpContent) {
+            setReadsBody(ctx, false);
+        }
+    }
+
+    private static void setReadsBody(ChannelHandlerContext ctx, boolean enabled) {
         if (ctx.channel() instanceof ClientChannel socket) {
-            socket.setReadsBody(
-                    HttpUtil.isTransferEncodingChunked(message)
-                            || HttpUtil.getContentLength(message, 0L) > 0);
+            socket.setReadsBody(enabled);
         }
+    }
+
+    @Override
+    void headAccepted(ChannelHandlerContext ctx, HttpMessage message) {
+        setReadsBody(
+                ctx,
+                HttpUtil.isTransferEncodingChunked(message)
+                        || HttpUtil.getContentLength(message, 0L) > 0);
         if (HttpUtil.is100ContinueExpected(message)) {
             ctx.writeAndFlush(
                     new DefaultFullHttpResponse(
--- a/src/main/java/cacheproxy/proxy/RequestLog.java
+++ b/src/main/java/cacheproxy/proxy/RequestLog.java
@@ -2,7 +2,6 @@
 
 import cacheproxy.Router.Outcome;
 import cacheproxy.Router.Request;
-import java.util.Locale;
 
 /**
  * Logs what becomes of requests that are not simply served: each attempt that failed, each request
@@ -40,7 +39,7 @@
                 "node",
                 call.lastNode,
                 "outcome",
-                lowerCase(outcome),
+                Log.lowerCase(outcome),
                 "after_ms",
                 elapsedMs(sentAtMs),
                 "written",
@@ -53,7 +52,7 @@
 
     /** A request ends without being served. Called before its answer is written. */
     void requestEnded(Call call, EndCause cause) {
-        if (clock.now() > call.deadlineMs && cause != EndCause.CLIENT_LEFT) {
+        if (clock.now() > call.deadlineMs && cause != EndCause.CLIENT_DISCONNECTED) {
             tally.answeredLate++;
         }
         write(
@@ -64,7 +63,7 @@
                 "class",
                 call.clientRequest.service(),
                 "cause",
-                lowerCase(cause),
+                Log.lowerCase(cause),
                 "after_ms",
                 elapsedMs(call.receivedAtMs),
                 "left_ms",
@@ -74,12 +73,12 @@
                 "last_node",
                 call.lastNode == null ? "none" : call.lastNode,
                 "last_outcome",
-                call.lastOutcome == null ? "none" : lowerCase(call.lastOutcome),
+                call.lastOutcome == null ? "none" : Log.lowerCase(call.lastOutcome),
                 "may_have_run",
                 !call.provenNotRun);
     }
 
-    /** A request was refused as it arrived, without asking the decision module. */
+    /** A request was rejected or failed as it arrived, without asking the decision module. */
     void requestNotAccepted(Request request, EndCause cause) {
         write(
                 requests,
@@ -89,7 +88,7 @@
                 "class",
                 request.service(),
                 "cause",
-                lowerCase(cause));
+                Log.lowerCase(cause));
     }
 
     /** The decision module has not answered a request by its deadline. */
@@ -108,7 +107,7 @@
                 "node",
                 call.lastNode,
                 "cause",
-                lowerCase(end),
+                Log.lowerCase(end),
                 "after_ms",
                 elapsedMs(call.receivedAtMs),
                 "left_ms",
@@ -131,8 +130,4 @@
     private long elapsedMs(double sinceMs) {
         return Math.round(clock.now() - sinceMs);
     }
-
-    private static String lowerCase(Enum<?> value) {
-        return value.name().toLowerCase(Locale.ROOT);
-    }
 }
--- a/src/main/java/cacheproxy/proxy/StreamEnd.java
+++ b/src/main/java/cacheproxy/proxy/StreamEnd.java
@@ -9,5 +9,5 @@
     NODE_SILENT,
 
     /** The client closed its connection or stopped reading. */
-    CLIENT_LEFT
+    CLIENT_DISCONNECTED
 }
--- a/src/main/java/cacheproxy/proxy/Upload.java
+++ b/src/main/java/cacheproxy/proxy/Upload.java
@@ -13,24 +13,25 @@
 
 /**
  * The body of a request that is too long to be aggregated, on its way from the client's connection
- * to a node's. What the node's connection does not take yet is held in memory, up to a limit, so
+ * to a node's. What the node's connection does not take yet is queued in memory, up to a limit, so
  * that the end of the body is seen soon after its client wrote it: its time counts from then.
  * Beyond the limit reading pauses. An upload can be sent only once: the first node that takes it
  * consumes it. All calls are made on the event loop.
  */
 final class Upload {
 
-    /** Most that is held of one body. */
-    private static final int MAX_HELD_BYTES = 1024 * 1024;
+    private static final int MEBIBYTE = 1024 * 1024;
+
+    /** Most that is queued of one body. */
+    private static final int MAX_QUEUED_BYTES = MEBIBYTE;
 
     private static final int PIECE_BYTES = 16 * 1024;
-    private static final int MEBIBYTE = 1024 * 1024;
 
     /**
      * Most of a body that the kernel may hold unread: the default limit of a socket's send buffer
      * on Linux. A client of which more is missing can't have written its last byte.
      */
-    private static final long MAX_KERNEL_BYTES = 4L * 1024 * 1024;
+    private static final long MAX_KERNEL_BYTES = 4L * MEBIBYTE;
 
     private final Channel clientChannel;
     private final BodyMemory memory;
@@ -38,8 +39,8 @@
     /** Length of the body; negative if it is not known. */
     private final long length;
 
-    private final Deque<ByteBuf> held = new ArrayDeque<>();
-    private int heldBytes;
+    private final Deque<ByteBuf> queued = new ArrayDeque<>();
+    private int queuedBytes;
     private Channel nodeChannel;
     private Runnable onSent;
     private Runnable onComplete = () -> {};
@@ -54,7 +55,7 @@
     /**
      * Creates an upload from the channel of a client.
      *
-     * @param memory memory for what is held
+     * @param memory memory for what is queued
      * @param length length of the body, negative if it is not known
      */
     Upload(Channel client, BodyMemory memory, long length) {
@@ -72,11 +73,11 @@
         recordReceived();
         if (discarding) {
             part.release();
-        } else if (nodeChannel != null && held.isEmpty() && nodeChannel.isWritable()) {
+        } else if (nodeChannel != null && queued.isEmpty() && nodeChannel.isWritable()) {
             lastPartWritten = last;
             write(part);
         } else {
-            hold(part.content());
+            enqueue(part.content());
             part.release();
         }
         if (last && !complete) {
@@ -93,12 +94,12 @@
         }
     }
 
-    private void hold(ByteBuf content) {
+    private void enqueue(ByteBuf content) {
         if (!content.isReadable()) {
             return;
         }
-        heldBytes += content.readableBytes();
-        ByteBuf lastPiece = held.peekLast();
+        queuedBytes += content.readableBytes();
+        ByteBuf lastPiece = queued.peekLast();
         boolean fits =
                 lastPiece != null
                         && lastPiece.maxCapacity() == PIECE_BYTES
@@ -109,10 +110,10 @@
                         content,
                         Math.max(PIECE_BYTES, content.readableBytes()));
         if (piece == null) {
-            // No memory is left for a copy. Reading pauses, so this holds one read at most.
-            held.add(content.retain());
+            // No memory is left for a copy. Reading pauses, so this is one read at most.
+            queued.add(content.retain());
         } else if (!fits) {
-            held.add(piece);
+            queued.add(piece);
         }
     }
 
@@ -183,12 +184,12 @@
         if (nodeChannel == null || discarding) {
             return;
         }
-        while (!held.isEmpty() && nodeChannel.isWritable()) {
-            ByteBuf piece = held.poll();
-            heldBytes -= piece.readableBytes();
+        while (!queued.isEmpty() && nodeChannel.isWritable()) {
+            ByteBuf piece = queued.poll();
+            queuedBytes -= piece.readableBytes();
             write(new DefaultHttpContent(piece));
         }
-        if (held.isEmpty() && complete && !lastPartWritten) {
+        if (queued.isEmpty() && complete && !lastPartWritten) {
             lastPartWritten = true;
             write(LastHttpContent.EMPTY_LAST_CONTENT);
         }
@@ -209,22 +210,22 @@
     }
 
     /**
-     * Reads from the client while there is room for more. Without a body to come reading goes on,
-     * as a client that disconnects has to be noticed.
+     * Reads from the client while more can be passed on or queued. Without a body to come reading
+     * goes on, as a client that disconnects has to be noticed.
      */
     private void updateReading() {
-        boolean accepted = nodeChannel != null && held.isEmpty() && nodeChannel.isWritable();
-        boolean room = heldBytes < MAX_HELD_BYTES && memory.hasRoomToHold();
-        clientChannel.config().setAutoRead(complete || discarding || accepted || room);
+        boolean accepted = nodeChannel != null && queued.isEmpty() && nodeChannel.isWritable();
+        boolean hasCapacity = queuedBytes < MAX_QUEUED_BYTES && memory.hasStreamingCapacity();
+        clientChannel.config().setAutoRead(complete || discarding || accepted || hasCapacity);
     }
 
     /** Discards the rest of the body as it arrives, as no node needs it. */
     void discard() {
         if (!discarding) {
             discarding = true;
-            held.forEach(ByteBuf::release);
-            held.clear();
-            heldBytes = 0;
+            queued.forEach(ByteBuf::release);
+            queued.clear();
+            queuedBytes = 0;
             clientChannel.config().setAutoRead(true);
         }
     }
--- a/src/main/java/cacheproxy/proxy/UpstreamAttempt.java
+++ b/src/main/java/cacheproxy/proxy/UpstreamAttempt.java
@@ -149,7 +149,7 @@
         abandon(Outcome.CANCELLED);
         if (bodyConsumer != null) {
             bodyConsumer = null;
-            listener.onStreamBroken(StreamEnd.CLIENT_LEFT, streamedBytes);
+            listener.onStreamBroken(StreamEnd.CLIENT_DISCONNECTED, streamedBytes);
             channel.close();
         }
     }
--- a/src/test/java/cacheproxy/proxy/DepartedClientTest.java
+++ b/src/test/java/cacheproxy/proxy/DepartedClientTest.java
@@ -43,20 +43,14 @@
     private record Received(String id, long nanos) {}
 
     private final BlockingQueue<Received> received = new LinkedBlockingQueue<>();
-    private final List<ScriptedNode> nodes = new ArrayList<>();
+    private List<ScriptedNode> nodes = List.of();
     @TempDir private Path folder;
     private ServeProcess serve;
 
     @BeforeEach
     void start() throws Exception {
         ProxyFixture site = new ProxyFixture();
-        nodes.add(new ScriptedNode(0, this::rejectLate));
-        nodes.add(new ScriptedNode(0, this::rejectLate));
-        site.hosts =
-                new String[] {
-                    ProxyFixture.host("c0", nodes.get(0).dial(), "up", 0),
-                    ProxyFixture.host("c1", nodes.get(1).dial(), "up", 0)
-                };
+        nodes = ScriptedNode.startAll(site, 2, this::rejectLate);
         site.settings = ProxyFixture.SETTINGS.replace("\"max_open\": 4", "\"max_open\": 20000");
         serve = new ServeProcess(folder, site, new ArrayList<>());
         serve.awaitUp();
--- a/src/test/java/cacheproxy/proxy/LateResponseBodyTest.java
+++ b/src/test/java/cacheproxy/proxy/LateResponseBodyTest.java
@@ -26,17 +26,13 @@
     private static final int TIMEOUT_S = 60;
     private static final int NODES = 2;
 
-    private final List<ScriptedNode> nodes = new ArrayList<>();
+    private List<ScriptedNode> nodes = List.of();
     @TempDir private Path folder;
     private ServeProcess serve;
 
     private void start(ScriptedNode.Script script) throws Exception {
         ProxyFixture site = new ProxyFixture();
-        site.hosts = new String[NODES];
-        for (int i = 0; i < NODES; i++) {
-            nodes.add(new ScriptedNode(0, script));
-            site.hosts[i] = ProxyFixture.host("c" + i, nodes.get(i).dial(), "up", 0);
-        }
+        nodes = ScriptedNode.startAll(site, NODES, script);
         serve = new ServeProcess(folder, site, new ArrayList<>());
         serve.awaitUp();
     }
--- a/src/test/java/cacheproxy/proxy/ScriptedNode.java
+++ b/src/test/java/cacheproxy/proxy/ScriptedNode.java
@@ -3,8 +3,11 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -27,10 +30,22 @@
         if (receiveBufferBytes > 0) {
             server.setReceiveBufferSize(receiveBufferBytes);
         }
-        server.bind(new java.net.InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
         start(this::accept);
     }
 
+    /** Starts nodes that all follow one script and lists them at {@code site}. */
+    static List<ScriptedNode> startAll(ProxyFixture site, int count, Script script)
+            throws IOException {
+        List<ScriptedNode> nodes = new ArrayList<>();
+        site.hosts = new String[count];
+        for (int i = 0; i < count; i++) {
+            nodes.add(new ScriptedNode(0, script));
+            site.hosts[i] = ProxyFixture.host("c" + i, nodes.get(i).dial(), "up", 0);
+        }
+        return nodes;
+    }
+
     String dial() {
         return "127.0.0.1:" + server.getLocalPort();
     }
--- a/src/test/java/cacheproxy/proxy/CrowdMemoryTest.java
+++ b/src/test/java/cacheproxy/proxy/SlowClientsMemoryTest.java
@@ -24,7 +24,7 @@
  * A process with the JVM options of the deploy file stays within the memory of the platform, and
  * answers other clients, while hundreds of clients are slow in the same way at once.
  */
-class CrowdMemoryTest {
+class SlowClientsMemoryTest {
 
     private static final int TIMEOUT_S = 120;
     private static final int SOCKET_LIMIT = 1024;
@@ -33,7 +33,7 @@
     private static final long MEMORY_LIMIT_BYTES = 192L << 20;
 
     /** Almost all connections that a process accepts with this limit on sockets. */
-    private static final int CROWD = 470;
+    private static final int CLIENTS = 470;
 
     private static final int NODES = 24;
 
@@ -42,19 +42,15 @@
     private static final int LONG_RESPONSE_BYTES = 8 << 20;
     private static final int READ_TIMEOUT_MS = 1500;
 
-    private final List<TestServer.Connection> crowd = new ArrayList<>();
+    private final List<TestServer.Connection> clients = new ArrayList<>();
     @TempDir private Path folder;
-    private final List<ScriptedNode> nodes = new ArrayList<>();
+    private List<ScriptedNode> nodes = List.of();
     private ServeProcess serve;
 
     @BeforeEach
     void start() throws Exception {
         ProxyFixture site = new ProxyFixture();
-        site.hosts = new String[NODES];
-        for (int i = 0; i < NODES; i++) {
-            nodes.add(new ScriptedNode(0, CrowdMemoryTest::serveNode));
-            site.hosts[i] = ProxyFixture.host("c" + i, nodes.get(i).dial(), "up", 0);
-        }
+        nodes = ScriptedNode.startAll(site, NODES, SlowClientsMemoryTest::serveNode);
         site.socketLimit = SOCKET_LIMIT;
         site.settings =
                 ProxyFixture.SETTINGS
@@ -66,7 +62,7 @@
 
     @AfterEach
     void stop() throws Exception {
-        for (TestServer.Connection each : crowd) {
+        for (TestServer.Connection each : clients) {
             each.close();
         }
         for (ScriptedNode node : nodes) {
@@ -110,15 +106,15 @@
                 + "\r\n";
     }
 
-    /** Connects the crowd; each sends the given text, and all send further pieces in rounds. */
-    private void playCrowd(String first, String pieceOfRound) throws Exception {
-        for (int i = 0; i < CROWD; i++) {
+    /** Connects the clients; each sends the given text, and all send further pieces in rounds. */
+    private void play(String first, String pieceOfRound) throws Exception {
+        for (int i = 0; i < CLIENTS; i++) {
             TestServer.Connection client = serve.client();
-            crowd.add(client);
+            clients.add(client);
             writeIfOpen(client, first.replace("{}", String.valueOf(i)));
         }
         for (int round = 0; round < ROUNDS; round++) {
-            for (TestServer.Connection client : crowd) {
+            for (TestServer.Connection client : clients) {
                 writeIfOpen(client, pieceOfRound);
             }
             if (round % 5 == 0) {
@@ -155,14 +151,14 @@
     @Test
     @Timeout(TIMEOUT_S)
     void slowlyWrittenHeads() throws Exception {
-        playCrowd(head("GET", "k{}", "slow{}", "read", 30), "X-Pad: " + "v".repeat(60) + "\r\n");
+        play(head("GET", "k{}", "slow{}", "read", 30), "X-Pad: " + "v".repeat(60) + "\r\n");
     }
 
     @ParameterizedTest
     @ValueSource(ints = {60_000, 900_000, 8_000_000})
     @Timeout(TIMEOUT_S)
     void longRequestsThatStopHalfWay(int bodyBytes) throws Exception {
-        playCrowd(
+        play(
                 head("PUT", "k{}", "stop{}", "pay", 30)
                         + "Idempotency-Key: k\r\nContent-Length: "
                         + bodyBytes
@@ -176,8 +172,7 @@
     @Timeout(TIMEOUT_S)
     void headsOfManyShortFields(int fieldBytes) throws Exception {
         String field = "a" + "b".repeat(fieldBytes - 2) + ":\r\n";
-        playCrowd(
-                head("GET", "k{}", "many{}", "read", 30) + field.repeat(7000 / field.length()), "");
+        play(head("GET", "k{}", "many{}", "read", 30) + field.repeat(7000 / field.length()), "");
     }
 
     @Test
@@ -193,12 +188,12 @@
                     .append(fields)
                     .append("\r\n");
         }
-        playCrowd(requests.toString(), "");
+        play(requests.toString(), "");
     }
 
     @Test
     @Timeout(TIMEOUT_S)
     void longResponsesThatAreReadSlowly() throws Exception {
-        playCrowd(head("GET", "long{}", "read{}", "read", 30) + "\r\n", "");
+        play(head("GET", "long{}", "read{}", "read", 30) + "\r\n", "");
     }
 }
