--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -7,4 +7,4 @@
     echo "could not run: build the program, then run review/build-2.sh" >&2
     exit 2
 fi
-exec java -Xmx512m -cp target/review-2 Case ForeignAnswer "$here"
+exec java -Xmx512m -cp target/review-2 Case LateUpload "$here"
