--- a/review/src-2/Rig.java
+++ b/review/src-2/Rig.java
@@ -418,9 +418,6 @@
         Path log;
         private int starts;
 
-        /** The socket that the platform holds, inherited as descriptor 0; null where there is none. */
-        java.nio.channels.ServerSocketChannel passed;
-
         Proxy(Path folder, String discovery, String settings) throws IOException {
             this.folder = folder;
             this.discovery = discovery;
@@ -480,31 +477,6 @@
             }
             return false;
         }
-
-        void signal(String name) throws IOException, InterruptedException {
-            signal(process, name);
-        }
-
-        static void signal(Process process, String name) throws IOException, InterruptedException {
-            new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + process.pid()).inheritIO().start().waitFor();
-        }
-
-        void stop() throws InterruptedException {
-            if (process != null) {
-                process.destroyForcibly().waitFor(5, TimeUnit.SECONDS);
-            }
-        }
-    }
-
-    /** POST or GET at a proxy's second address; returns the status, 0 without an answer. */
-    static int admin(int port, String method, String path) {
-        try (Client client = new Client(port)) {
-            Message answer =
-                    client.call(method + " " + path + " HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n", new byte[0], 2000);
-            return answer == null ? 0 : answer.status();
-        } catch (IOException e) {
-            return 0;
-        }
     }
 
     /** One client's connection, one request at a time. */
