Hand the encoder one part of a long body at a time

Cause: the change of writability is reported from inside the write of a queued piece that crosses the high water mark. NodeConnection passed it to Upload.flush, which wrote the last part into the encoder while the encoder was still in the write of the piece. The piece's buffer was released twice and the last part's write failed although every byte had left; the attempt ended as connect_failed, which counts as proof that nothing ran.

Evidence: a trial with a trace logged the last part written inside another write and its failure with IllegalReferenceCountException. QueuedUploadTest on the code before: 3 of 7 cases fail with that exception.

Change: Upload doesn't write while one of its writes is in progress; the loop that is running writes the rest after it.

--- a/src/main/java/cacheproxy/proxy/Upload.java
+++ b/src/main/java/cacheproxy/proxy/Upload.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -46,6 +47,10 @@
     private Runnable onComplete = () -> {};
     private boolean complete;
     private boolean lastPartWritten;
+
+    /** Whether a part is being handed to the node's connection. */
+    private boolean writing;
+
     private boolean discarding;
     private long receivedBytes;
 
@@ -73,21 +78,27 @@
         recordReceived();
         if (discarding) {
             part.release();
-        } else if (nodeChannel != null && queued.isEmpty() && nodeChannel.isWritable()) {
+        } else if (!writing && isAcceptedAtOnce()) {
             lastPartWritten = last;
             write(part);
         } else {
             enqueue(part.content());
             part.release();
         }
-        if (last && !complete) {
-            complete = true;
-            flush();
+        boolean completed = last && !complete;
+        complete |= last;
+        flush();
+        if (completed) {
             onComplete.run();
         }
         updateReading();
     }
 
+    /** Whether the node's connection takes a part as it is, without queueing it. */
+    private boolean isAcceptedAtOnce() {
+        return nodeChannel != null && queued.isEmpty() && nodeChannel.isWritable();
+    }
+
     private void recordReceived() {
         while (mebibyteNanos.size() <= receivedBytes / MEBIBYTE) {
             mebibyteNanos.add(System.nanoTime());
@@ -180,8 +191,13 @@
         updateReading();
     }
 
+    /**
+     * Writes what the node's connection accepts now. It reports changes of its writability from
+     * inside a write, where its encoder can't take another part; the write in progress is followed
+     * by the rest.
+     */
     private void flush() {
-        if (nodeChannel == null || discarding) {
+        if (nodeChannel == null || discarding || writing) {
             return;
         }
         while (!queued.isEmpty() && nodeChannel.isWritable()) {
@@ -197,16 +213,17 @@
 
     private void write(HttpContent part) {
         boolean last = part instanceof LastHttpContent;
-        nodeChannel
-                .writeAndFlush(part)
-                .addListener(
-                        f -> {
-                            if (!f.isSuccess()) {
-                                nodeChannel.close();
-                            } else if (last) {
-                                onSent.run();
-                            }
-                        });
+        writing = true;
+        ChannelFuture write = nodeChannel.writeAndFlush(part);
+        writing = false;
+        write.addListener(
+                f -> {
+                    if (!f.isSuccess()) {
+                        nodeChannel.close();
+                    } else if (last) {
+                        onSent.run();
+                    }
+                });
     }
 
     /**
@@ -214,9 +231,10 @@
      * goes on, as a client that disconnects has to be noticed.
      */
     private void updateReading() {
-        boolean accepted = nodeChannel != null && queued.isEmpty() && nodeChannel.isWritable();
         boolean hasCapacity = queuedBytes < MAX_QUEUED_BYTES && memory.hasStreamingCapacity();
-        clientChannel.config().setAutoRead(complete || discarding || accepted || hasCapacity);
+        clientChannel
+                .config()
+                .setAutoRead(complete || discarding || isAcceptedAtOnce() || hasCapacity);
     }
 
     /** Discards the rest of the body as it arrives, as no node needs it. */
