Leave clients that read steadily the time to read what the kernel has taken

Cause: progress of a client is seen only when the kernel takes bytes. The kernels of both sides take some 4 MB at once and more only when a large part of it was read, later than the 10 s after which a client counts as stalled. The end of a response had 5 s (9 s on a kept connection).

Evidence: a trial with a trace: all six connections had 4.04 to 4.09 MB taken at once and no change until response_stalled 10.1 s later. A trial with SO_SNDBUF of 128 KiB still had gaps of 10.5 s at 64 kB/s, as the client's kernel takes in steps of up to 675 kB: a smaller send buffer alone is not enough.

Change: ReadProgress bounds what a client of at least 48 kB/s may not have read of what the kernel took, 4 MiB at most; the time for it comes on top of the limits for long and for last responses, unless the limit of connections is reached.

Why it works: a steady reader's next step comes when it has read what the kernel took last, which is what is counted.

--- a/src/main/java/cacheproxy/proxy/ClientChannel.java
+++ b/src/main/java/cacheproxy/proxy/ClientChannel.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelException;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -82,6 +83,9 @@
     /** Whether a long body is expected, which may be read as fast as it comes. */
     private boolean readsBody;
 
+    /** Number of bytes that the kernel has taken for this client. */
+    private long takenBytes;
+
     private boolean deliveryScheduled;
     private boolean clientClosed;
 
@@ -271,6 +275,22 @@
         }
     }
 
+    /** Number of bytes that the kernel has taken for this client, as far as can be told. */
+    long takenBytes() {
+        return takenBytes;
+    }
+
+    @Override
+    protected void doWrite(ChannelOutboundBuffer outbound) throws Exception {
+        long pendingBytes = pendingBytes(outbound);
+        super.doWrite(outbound);
+        takenBytes += Math.max(0, pendingBytes - pendingBytes(outbound));
+    }
+
+    private static long pendingBytes(ChannelOutboundBuffer outbound) {
+        return outbound.totalPendingWriteBytes() - outbound.currentProgress();
+    }
+
     @Override
     protected void doClose() throws Exception {
         clientClosed = true;
--- a/src/main/java/cacheproxy/proxy/ClientServer.java
+++ b/src/main/java/cacheproxy/proxy/ClientServer.java
@@ -12,7 +12,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -487,8 +486,10 @@
         /** Bytes read since {@link #timerStartNanos}. */
         private long receivedBytes;
 
-        /** Bytes that were still to be written at the last check. */
-        private long unwrittenBytes;
+        /** Bytes that the kernel had taken at the last check. */
+        private long takenBytes;
+
+        private final ReadProgress readProgress = new ReadProgress();
 
         /** When bytes were last read, or {@link #timerStartNanos} if that is later. */
         private long lastReadNanos = timerStartNanos;
@@ -577,7 +578,7 @@
          * its response or never closes would keep its descriptor forever.
          */
         void sweep(long nowNanos) {
-            if (hasWriteProgress()) {
+            if (hasWriteProgress(nowNanos)) {
                 restartTimer();
             }
             long elapsedMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - timerStartNanos);
@@ -608,7 +609,8 @@
                         abortRequest(HttpResponseStatus.REQUEST_TIMEOUT);
                     }
                 }
-                case STREAMING -> closeIfStalledFor(elapsedMs, RESPONSE_STALL_TIMEOUT_MS);
+                case STREAMING ->
+                        closeIfStalledFor(elapsedMs, RESPONSE_STALL_TIMEOUT_MS + readingMs());
             }
         }
 
@@ -620,7 +622,7 @@
         }
 
         private void sweepClosing(long elapsedMs) {
-            if (halfClose.hasExpired(elapsedMs)) {
+            if (halfClose.hasExpired(elapsedMs, readingMs())) {
                 if (!halfClose.isWriteDone()) {
                     logClose(CloseCause.LAST_RESPONSE_STALLED);
                 }
@@ -654,21 +656,32 @@
                                     < MIN_BYTES_PER_S * (elapsedMs - MIN_RATE_GRACE_MS) / 1000;
         }
 
-        /** Whether the client has taken any of the pending response bytes since the last call. */
-        private boolean hasWriteProgress() {
-            ChannelOutboundBuffer outbound =
-                    !pausedForUnread
-                                    && (phase == Phase.PROCESSING
-                                            || phase == Phase.READING
-                                            || phase == Phase.AWAITING_FIRST_BYTE)
-                            ? null
-                            : channel.unsafe().outboundBuffer();
-            long previousBytes = unwrittenBytes;
-            unwrittenBytes =
-                    outbound == null
-                            ? 0
-                            : outbound.totalPendingWriteBytes() - outbound.currentProgress();
-            return unwrittenBytes > 0 && unwrittenBytes != previousBytes;
+        /**
+         * Whether the kernel has taken response bytes since the last call, in a phase whose timer
+         * does not watch a request.
+         */
+        private boolean hasWriteProgress(long nowNanos) {
+            long previousBytes = takenBytes;
+            takenBytes = channel instanceof ClientChannel socket ? socket.takenBytes() : 0;
+            if (takenBytes == previousBytes) {
+                return false;
+            }
+            readProgress.recordTaken(takenBytes - previousBytes, nowNanos);
+            return pausedForUnread || !isWatchingRequest();
+        }
+
+        private boolean isWatchingRequest() {
+            return phase == Phase.PROCESSING
+                    || phase == Phase.READING
+                    || phase == Phase.AWAITING_FIRST_BYTE;
+        }
+
+        /**
+         * How long a response may make no progress because its client still reads what the kernel
+         * has taken. While clients wait for a connection, one that makes no progress gives way.
+         */
+        private long readingMs() {
+            return atConnectionLimit ? 0 : readProgress.readingMs();
         }
 
         /** Ends the current request: its upload is malformed, too long or too slow. */
--- a/src/main/java/cacheproxy/proxy/HalfClose.java
+++ b/src/main/java/cacheproxy/proxy/HalfClose.java
@@ -67,11 +67,13 @@
     }
 
     /**
-     * Whether the client has used up its time and the connection is to be closed completely; {@code
-     * idleMs} is the time since it last accepted or sent something.
+     * Whether the client has used up its time and the connection is to be closed completely.
+     *
+     * @param idleMs time since the client last accepted or sent something
+     * @param readingMs how much of that time it may have read what was written before
      */
-    boolean hasExpired(long idleMs) {
-        return idleMs >= (isWriteDone() ? LINGER_TIMEOUT_MS : WRITE_STALL_TIMEOUT_MS);
+    boolean hasExpired(long idleMs, long readingMs) {
+        return idleMs >= (isWriteDone() ? LINGER_TIMEOUT_MS : WRITE_STALL_TIMEOUT_MS + readingMs);
     }
 
     /** Whether everything issued has been written, or failed to be. */
