Keep the endpoint list that is furthest where all watches are slow

Cause: of four pending watches that all receive bytes, the oldest gave way to the next one every 150 ms, so each lived for 0.6 s.

On the code before, DiscoveryWatchTest.listThatIsSlowOnEveryWatchIsRead: no list within 2 s.

Change: the oldest receiving watch is kept, for as long as a watch may be silent; the next one gives way.

--- a/src/main/java/cacheproxy/proxy/Discovery.java
+++ b/src/main/java/cacheproxy/proxy/Discovery.java
@@ -257,7 +257,9 @@
 
     /**
      * Selects the pending watch to close. Watches that have received bytes are kept up to {@link
-     * #MAX_OPENED_SINCE_LAST_BYTE}, and so is the oldest of those that have not received any.
+     * #MAX_OPENED_SINCE_LAST_BYTE}, and so is the oldest of those that have not received any. Where
+     * all have received bytes, the oldest is the furthest and is kept for as long as a watch may be
+     * without a message.
      */
     private Watch leastPromising() {
         List<Watch> byLastByte =
@@ -265,11 +267,18 @@
                         .sorted(Comparator.comparingLong(w -> w.openedAtLastByte))
                         .toList();
         List<Watch> withoutData = byLastByte.stream().filter(w -> !w.hasData).toList();
-        if (withoutData.isEmpty()
-                || openedCount - byLastByte.get(0).openedAtLastByte >= MAX_OPENED_SINCE_LAST_BYTE) {
+        if (openedCount - byLastByte.get(0).openedAtLastByte >= MAX_OPENED_SINCE_LAST_BYTE) {
             return byLastByte.get(0);
         }
-        return withoutData.get(Math.min(1, withoutData.size() - 1));
+        if (!withoutData.isEmpty()) {
+            return oldestOrNext(withoutData, false);
+        }
+        List<Watch> byAge = List.copyOf(pendingWatches);
+        return oldestOrNext(byAge, byAge.get(0).isOverdue());
+    }
+
+    private static Watch oldestOrNext(List<Watch> byAge, boolean oldest) {
+        return byAge.get(oldest ? 0 : Math.min(1, byAge.size() - 1));
     }
 
     private void setTimer(long ms, Runnable task) {
@@ -460,6 +469,12 @@
                             < TimeUnit.MILLISECONDS.toNanos(MAX_TRANSFER_MS);
         }
 
+        /** Whether its first message has taken longer than a watch may be silent. */
+        private boolean isOverdue() {
+            return nanoClock.getAsLong() - firstByteNanos
+                    >= TimeUnit.MILLISECONDS.toNanos(times.silenceTimeoutMs);
+        }
+
         private void bytesReceived(int bytes) {
             openedAtLastByte = openedCount;
             firstByteNanos = hasData ? firstByteNanos : nanoClock.getAsLong();
--- a/src/test/java/cacheproxy/proxy/DiscoveryWatchTest.java
+++ b/src/test/java/cacheproxy/proxy/DiscoveryWatchTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -42,6 +43,14 @@
     /** Every change has to be applied within this time, even one that a silent watch misses. */
     private static final long UPDATE_DEADLINE_MS = 6000;
 
+    /** An agent's slow list is whole after some 0.9 s. */
+    private static final int SLOW_LIST_PIECES = 10;
+
+    private static final long SLOW_LIST_PAUSE_MS = 100;
+
+    /** When a node that drains must no longer be sent to, after the agent had it. */
+    private static final long SLOW_LIST_DEADLINE_MS = 2000;
+
     @TempDir private Path directory;
     private ProxyFixture fixture;
 
@@ -593,6 +602,57 @@
         assertTrue(fixture.discovery.receivedNothing(), "another watch was opened");
     }
 
+    /** Writes a list in pieces, so that it takes longer than several watches may be opened in. */
+    private void writeSlowly(TestServer.Connection watch) throws IOException, InterruptedException {
+        watch.write(RESPONSE_HEAD);
+        String text = drainUpdate(8) + "\n";
+        int pieceLength = text.length() / SLOW_LIST_PIECES + 1;
+        for (int offset = 0; offset < text.length(); offset += pieceLength) {
+            chunk(watch, text.substring(offset, Math.min(text.length(), offset + pieceLength)));
+            TimeUnit.MILLISECONDS.sleep(SLOW_LIST_PAUSE_MS);
+        }
+    }
+
+    private void serveSlowly(TestServer.Connection watch) {
+        Thread writer =
+                new Thread(
+                        () -> {
+                            try {
+                                writeSlowly(watch);
+                            } catch (IOException | InterruptedException e) {
+                                // The watch was closed: nothing more is to be written on it.
+                            }
+                        });
+        writer.setDaemon(true);
+        writer.start();
+    }
+
+    /**
+     * An agent answers every watch at once, but slowly. Guards against a list that was never read,
+     * as the watch that was furthest gave way to each new one.
+     */
+    @Test
+    void listThatIsSlowOnEveryWatchIsRead() throws Exception {
+        start("automatic", Discovery.Times.PUSHED);
+        Thread agent =
+                new Thread(
+                        () -> {
+                            try {
+                                while (true) {
+                                    serveSlowly(awaitWatch(7));
+                                }
+                            } catch (Exception | AssertionError e) {
+                                // The test is over.
+                            }
+                        });
+        agent.setDaemon(true);
+        agent.start();
+        ScriptedRouter.ReceivedList received =
+                fixture.router.receivedLists.poll(SLOW_LIST_DEADLINE_MS, TimeUnit.MILLISECONDS);
+        assertNotNull(received, "no list within " + SLOW_LIST_DEADLINE_MS + " ms");
+        assertEquals(8, received.version());
+    }
+
     /** Other watches are opened meanwhile, but the slow one is not abandoned. */
     @Test
     void listArrivingByteByByteIsRead() throws Exception {
