Move waiting requests out of ClientServer and give the least rate of clients one place

Change: PipelinedRequest and ClientRate are files of their own; the test has one method for each judgement. No behaviour changes.

--- a/src/main/java/cacheproxy/proxy/ClientServer.java
+++ b/src/main/java/cacheproxy/proxy/ClientServer.java
@@ -40,7 +40,6 @@
 import java.util.ArrayDeque;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -96,9 +95,6 @@
      */
     private static final long REQUEST_PAUSE_TIMEOUT_MS = 2600;
 
-    /** Minimum average rate of a request's bytes after {@link #MIN_RATE_GRACE_MS}. */
-    private static final long MIN_BYTES_PER_S = 48_000;
-
     /**
      * Time from a request's arrival during which its client counts as present. An attempt may begin
      * up to 100 ms after its client has left.
@@ -653,7 +649,9 @@
             return paused
                     || elapsedMs >= MIN_RATE_GRACE_MS
                             && receivedBytes
-                                    < MIN_BYTES_PER_S * (elapsedMs - MIN_RATE_GRACE_MS) / 1000;
+                                    < ClientRate.MIN_BYTES_PER_S
+                                            * (elapsedMs - MIN_RATE_GRACE_MS)
+                                            / 1000;
         }
 
         /**
@@ -911,7 +909,8 @@
                             - (upload == null ? 0 : upload.receivedBytes());
             return upload == null || upload.isComplete()
                     ? 0
-                    : MIN_RATE_GRACE_MS + 1000.0 * Math.max(0, remainingBytes) / MIN_BYTES_PER_S;
+                    : MIN_RATE_GRACE_MS
+                            + 1000.0 * Math.max(0, remainingBytes) / ClientRate.MIN_BYTES_PER_S;
         }
 
         @Override
@@ -1218,37 +1217,6 @@
         }
     }
 
-    /**
-     * A request with its arrival time, as its budget counts from then. It waits if another request
-     * is in progress on its connection.
-     */
-    private record PipelinedRequest(HttpRequest request, Upload upload, long arrivedNanos) {
-
-        /** Estimated memory of a head without its text, and of one of its fields. */
-        private static final int HEAD_BYTES = 1000;
-
-        private static final int FIELD_BYTES = 200;
-
-        /** The estimated memory of the request without its body. */
-        int headBytes() {
-            int bytes = HEAD_BYTES + request.uri().length();
-            Iterator<Map.Entry<CharSequence, CharSequence>> fields =
-                    request.headers().iteratorCharSequence();
-            while (fields.hasNext()) {
-                Map.Entry<CharSequence, CharSequence> field = fields.next();
-                bytes += FIELD_BYTES + field.getKey().length() + field.getValue().length();
-            }
-            return bytes;
-        }
-
-        void release() {
-            ReferenceCountUtil.release(request);
-            if (upload != null) {
-                upload.discard();
-            }
-        }
-    }
-
     private static String path(String uri) {
         int query = uri.indexOf('?');
         return query < 0 ? uri : uri.substring(0, query);
--- a/src/main/java/cacheproxy/proxy/ReadProgress.java
+++ b/src/main/java/cacheproxy/proxy/ReadProgress.java
@@ -10,9 +10,6 @@
  */
 final class ReadProgress {
 
-    /** Rate at which a client reads at least. */
-    static final long MIN_BYTES_PER_S = 48_000;
-
     /**
      * Most that the kernels are assumed to buffer: the default limit of a socket's send buffer on
      * Linux.
@@ -36,7 +33,7 @@
     private static long bytesReadIn(long readMs) {
         // Limited first: the first time span counts from an arbitrary origin.
         long limitedMs = Math.max(0, Math.min(readMs, readingMs(MAX_BUFFERED_BYTES)));
-        return limitedMs * MIN_BYTES_PER_S / TimeUnit.SECONDS.toMillis(1);
+        return limitedMs * ClientRate.MIN_BYTES_PER_S / TimeUnit.SECONDS.toMillis(1);
     }
 
     /**
@@ -48,6 +45,6 @@
     }
 
     private static long readingMs(long bytes) {
-        return bytes * TimeUnit.SECONDS.toMillis(1) / MIN_BYTES_PER_S;
+        return bytes * TimeUnit.SECONDS.toMillis(1) / ClientRate.MIN_BYTES_PER_S;
     }
 }
--- a/src/test/java/cacheproxy/proxy/LongRequestDeadlineTest.java
+++ b/src/test/java/cacheproxy/proxy/LongRequestDeadlineTest.java
@@ -91,6 +91,27 @@
                         : "Content-Length: " + bodyBytes + "\r\n\r\n");
     }
 
+    /** Reads the answer; returns how long after the given time it came, in milliseconds. */
+    private static long readAnswerMs(TestServer.Connection client, long sentNanos)
+            throws IOException {
+        String answer = client.read();
+        long afterMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNanos);
+        assertNotEquals(-1, ProxyFixture.status(answer), "no answer");
+        return afterMs;
+    }
+
+    private static void assertNotLate(long afterMs, double budgetS) {
+        assertTrue(
+                afterMs <= budgetS * 1000 + LATE_ANSWER_MS,
+                "answered " + afterMs + " ms after the last byte");
+    }
+
+    private static void assertNotEarly(long afterMs, double budgetS) {
+        assertTrue(
+                afterMs >= budgetS * 1000 - EARLY_ANSWER_MS,
+                "answered " + afterMs + " ms after the last byte");
+    }
+
     private static void readSlowly(Socket connection, int bytesPerS, int limitBytes)
             throws IOException, InterruptedException {
         InputStream in = connection.getInputStream();
@@ -145,12 +166,7 @@
             client.write(
                     head(bodyBytes, chunked, budgetS) + (chunked ? body + "\r\n0\r\n\r\n" : body));
             long sentNanos = System.nanoTime();
-            String answer = client.read();
-            long afterMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNanos);
-            assertNotEquals(-1, ProxyFixture.status(answer), "no answer");
-            assertTrue(
-                    afterMs <= budgetS * 1000 + LATE_ANSWER_MS,
-                    "answered " + afterMs + " ms after the last byte");
+            assertNotLate(readAnswerMs(client, sentNanos), budgetS);
         }
     }
 
@@ -190,13 +206,9 @@
             client.write("v".repeat(END_BYTES));
             long sentNanos = System.nanoTime();
             assertEquals(200, ProxyFixture.status(client.read()));
-            String answer = client.read();
-            long afterMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNanos);
-            assertNotEquals(-1, ProxyFixture.status(answer), "no answer");
-            assertTrue(
-                    afterMs >= budgetS * 1000 - EARLY_ANSWER_MS
-                            && afterMs <= budgetS * 1000 + LATE_ANSWER_MS,
-                    "answered " + afterMs + " ms after the last byte");
+            long afterMs = readAnswerMs(client, sentNanos);
+            assertNotEarly(afterMs, budgetS);
+            assertNotLate(afterMs, budgetS);
         }
     }
 
@@ -217,13 +229,9 @@
             TimeUnit.MILLISECONDS.sleep(endDelayMs);
             client.write("v".repeat(END_BYTES));
             long sentNanos = System.nanoTime();
-            String answer = client.read();
-            long afterMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNanos);
-            assertNotEquals(-1, ProxyFixture.status(answer), "no answer");
-            assertTrue(
-                    afterMs >= budgetS * 1000 - EARLY_ANSWER_MS
-                            && afterMs <= budgetS * 1000 + LATE_ANSWER_MS,
-                    "answered " + afterMs + " ms after the last byte");
+            long afterMs = readAnswerMs(client, sentNanos);
+            assertNotEarly(afterMs, budgetS);
+            assertNotLate(afterMs, budgetS);
         }
     }
 
--- a/src/test/java/cacheproxy/proxy/ReadProgressTest.java
+++ b/src/test/java/cacheproxy/proxy/ReadProgressTest.java
@@ -50,7 +50,7 @@
             progress.recordTaken(MEBIBYTE, now);
         }
         assertEquals(
-                ReadProgress.MAX_BUFFERED_BYTES * 1000 / ReadProgress.MIN_BYTES_PER_S,
+                ReadProgress.MAX_BUFFERED_BYTES * 1000 / ClientRate.MIN_BYTES_PER_S,
                 progress.readingMs());
     }
 
@@ -58,6 +58,6 @@
     void shortResponsesLeaveNoTimeOnceTheyCanBeRead() {
         progress.recordTaken(200, START_NANOS);
         progress.recordTaken(200, START_NANOS + TimeUnit.SECONDS.toNanos(1));
-        assertEquals(200 * 1000 / ReadProgress.MIN_BYTES_PER_S, progress.readingMs());
+        assertEquals(200 * 1000 / ClientRate.MIN_BYTES_PER_S, progress.readingMs());
     }
 }
